Name the platform's services by address in settings

Cause: the HTTP adapters take "IP:port", settings had URLs. Ruled out: stripping the scheme in the daemon, a second form of the same thing. Change: table_address, objects_address, hosts_address, checked as addresses.

--- a/src/banyanshed/settings.py
+++ b/src/banyanshed/settings.py
@@ -40,7 +40,6 @@
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
 Seconds = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
 Count = Annotated[int, pydantic.Field(gt=0)]
-Url = Annotated[str, pydantic.StringConstraints(pattern=r"^https?://[^\s@]+$")]
 Digest = Annotated[str, pydantic.StringConstraints(pattern="^[0-9a-f]{64}$")]
 
 
@@ -56,15 +55,15 @@
     """Where the platform's services are.
 
     Attributes:
-        table_url: Base URL of the table service.
-        objects_url: Base URL of the object store.
-        hosts_url: URL of the list of hosts.
+        table_address: "IP:port" of the table service.
+        objects_address: "IP:port" of the object store.
+        hosts_address: "IP:port" of the list of hosts.
         timeout_s: Longest wait for one answer, in seconds.
     """
 
-    table_url: Url
-    objects_url: Url
-    hosts_url: Url
+    table_address: Address
+    objects_address: Address
+    hosts_address: Address
     timeout_s: Seconds = 1.5
 
 
