--- /dev/null
+++ b/src/banyanshed/leases.py
@@ -0,0 +1,1083 @@
+"""Shares that one host holds under lease; no input or output.
+
+A ShareHolder admits requests within its shares and moves the shares towards
+demand. Its owner carries the requests of `next_request` to the table service,
+one at a time, and the heartbeats to the witness, and hands back what came.
+"""
+
+from collections.abc import Iterable, Sequence
+import dataclasses
+import enum
+import functools
+import math
+import random
+from typing import Any
+
+from banyanshed import buckets
+from banyanshed import models
+from banyanshed import sessions
+from banyanshed import shares
+
+QUIET_READ_S = 2.0
+BUSY_READ_S = 0.25
+RETRY_S = 1.0
+MAX_RETRY_S = 5.0
+CONFLICT_S = 0.03
+RENEW_PART = 1 / 3
+DEFAULT_RETRY_AFTER_S = 1.0
+UNIT_RETRY_AFTER_S = 0.2
+SESSION_READ_S = 5.0
+SURE_PART = 1 - 2 * sessions.CLOCK_DRIFT
+"""A rate on a fast clock times this stays within the rate."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRequest:
+    """Asks for rows of the table service."""
+
+    keys: tuple[str, ...]
+
+
+Request = ReadRequest | models.Transaction
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """Whether a request is within its tenant's rate.
+
+    Attributes:
+        admitted: It may run.
+        retry_after_s: When to come back, if refused.
+    """
+
+    admitted: bool
+    retry_after_s: float | None = None
+
+
+ADMITTED = Admission(True)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unit:
+    """The right to one request at work, until released."""
+
+    key: shares.LimitKey
+    session: shares.SessionId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reservation:
+    """Bytes of a link set aside for one answer, until settled."""
+
+    key: shares.LimitKey
+    session: shares.SessionId
+    size: float
+
+
+class Phase(enum.Enum):
+    """What a holder does."""
+
+    HOLDING = "holding"
+    RETURNING = "returning"
+    RETURNED = "returned"
+
+
+@dataclasses.dataclass(slots=True)
+class HeldRate:
+    """Part of a rate limit held by this host.
+
+    Attributes:
+        limit: The limit, by this host's configuration.
+        bucket: Tokens that may be spent.
+        meter: Rate asked of this host.
+        refused: Requests refused since the last plan.
+        uncertain: Tokens to be gained, by id of a transaction whose outcome
+            is unknown.
+        uncertain_version: Version on which those were conditional.
+    """
+
+    limit: shares.RateLimit
+    bucket: buckets.TokenBucket = dataclasses.field(
+        default_factory=buckets.TokenBucket
+    )
+    meter: buckets.RateMeter = dataclasses.field(
+        default_factory=buckets.RateMeter
+    )
+    refused: float = 0
+    uncertain: dict[str, float] = dataclasses.field(default_factory=dict)
+    uncertain_version: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class HeldUnits:
+    """Units of a placement held by this host.
+
+    Attributes:
+        limit: The limit, by this host's configuration.
+        units: Units held.
+        target: Units that may be filled; the rest is returned when free.
+        in_use: Requests at work.
+        peak: Most requests at work of late.
+        refused: Requests refused since the last plan.
+        uncertain: Ids of transactions whose outcome is unknown.
+        uncertain_version: Version on which those were conditional.
+    """
+
+    limit: shares.UnitLimit
+    units: int = 0
+    target: int = 0
+    in_use: int = 0
+    peak: buckets.PeakMeter = dataclasses.field(
+        default_factory=lambda: buckets.PeakMeter(shares.COOLING_S)
+    )
+    refused: int = 0
+    uncertain: dict[str, float] = dataclasses.field(default_factory=dict)
+    uncertain_version: int = 0
+
+
+Held = HeldRate | HeldUnits
+Plan = shares.RatePlan | shares.UnitPlan
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """A request on its way to the table service.
+
+    Attributes:
+        sent_s: When it was sent.
+        write_id: Id of the transaction; empty for a read.
+        conditions: Versions that it requires.
+        plans: Plans that it carries out, by limit.
+        session: The row of this host's session that it writes, if any.
+        closes: Sessions of others that it closes.
+    """
+
+    sent_s: float
+    write_id: str = ""
+    conditions: dict[str, int] = dataclasses.field(default_factory=dict)
+    plans: dict[shares.LimitKey, Plan] = dataclasses.field(default_factory=dict)
+    session: sessions.Session | None = None
+    closes: tuple[shares.SessionId, ...] = ()
+
+
+@functools.singledispatch
+def make_held(limit: shares.Limit) -> Held:
+    """Returns an empty holding of a limit."""
+    raise TypeError(type(limit).__name__)
+
+
+@make_held.register
+def _make_rate(limit: shares.RateLimit) -> HeldRate:
+    return HeldRate(limit)
+
+
+@make_held.register
+def _make_units(limit: shares.UnitLimit) -> HeldUnits:
+    return HeldUnits(limit)
+
+
+@functools.singledispatch
+def make_plan(
+    held: Held,
+    share: Any,
+    session: shares.SessionId,
+    write_id: str,
+    now_s: float,
+    moment: shares.Moment,
+    leaving: bool,
+) -> Plan:
+    """Returns the plan of one limit for this host's present need."""
+    raise TypeError(type(held).__name__)
+
+
+@make_plan.register
+def _plan_rate(
+    held: HeldRate,
+    share: Any,
+    session: shares.SessionId,
+    write_id: str,
+    now_s: float,
+    moment: shares.Moment,
+    leaving: bool,
+) -> Plan:
+    held.bucket.refill(now_s)
+    ask = shares.RateAsk(
+        session,
+        write_id,
+        held.meter.read(now_s),
+        held.bucket.tokens,
+        held.bucket.reserved,
+        leaving,
+    )
+    return shares.plan_rate(held.limit, share, ask, moment)
+
+
+@make_plan.register
+def _plan_units(
+    held: HeldUnits,
+    share: Any,
+    session: shares.SessionId,
+    write_id: str,
+    now_s: float,
+    moment: shares.Moment,
+    leaving: bool,
+) -> Plan:
+    peak = held.peak.read(now_s, held.in_use)
+    wanted = peak + 1 + peak // 4 + min(held.refused, 1 + peak // 2)
+    ask = shares.UnitAsk(session, write_id, held.in_use, peak, wanted, leaving)
+    return shares.plan_units(held.limit, share, ask, moment)
+
+
+@functools.singledispatch
+def give_up(held: Held, now_s: float, plan: Any) -> None:
+    """Gives up what a plan takes away, before its transaction is sent."""
+    raise TypeError(type(held).__name__)
+
+
+@give_up.register
+def _give_up_rate(held: HeldRate, now_s: float, plan: shares.RatePlan) -> None:
+    bucket = held.bucket
+    bucket.refill(now_s)
+    bucket.tokens = max(0.0, bucket.tokens + min(0.0, plan.tokens))
+    bucket.resize(
+        now_s,
+        min(bucket.rate, plan.grant.rate * SURE_PART),
+        min(bucket.burst, plan.grant.burst),
+    )
+
+
+def _resize(held: HeldRate, now_s: float, grant: shares.RateGrant) -> None:
+    """Gives the bucket the size of a grant, on this host's own clock."""
+    held.bucket.resize(now_s, grant.rate * SURE_PART, grant.burst)
+
+
+@give_up.register
+def _give_up_units(
+    held: HeldUnits, now_s: float, plan: shares.UnitPlan
+) -> None:
+    held.units = min(held.units, plan.grant.units)
+    held.target = min(held.target, plan.target)
+
+
+@functools.singledispatch
+def take_up(held: Held, now_s: float, plan: Any) -> None:
+    """Takes what a plan grants, after its transaction took effect."""
+    raise TypeError(type(held).__name__)
+
+
+@take_up.register
+def _take_up_rate(held: HeldRate, now_s: float, plan: shares.RatePlan) -> None:
+    held.uncertain.clear()
+    held.refused = 0
+    _resize(held, now_s, plan.grant)
+    held.bucket.put(max(0.0, plan.tokens))
+
+
+@take_up.register
+def _take_up_units(
+    held: HeldUnits, now_s: float, plan: shares.UnitPlan
+) -> None:
+    held.uncertain.clear()
+    held.refused = 0
+    held.units = plan.grant.units
+    held.target = plan.target
+
+
+@functools.singledispatch
+def take_back(held: Held, now_s: float, plan: Any) -> None:
+    """Undoes `give_up`, when the transaction surely took no effect."""
+    raise TypeError(type(held).__name__)
+
+
+@take_back.register
+def _take_back_rate(
+    held: HeldRate, now_s: float, plan: shares.RatePlan
+) -> None:
+    held.bucket.put(max(0.0, -plan.tokens))
+
+
+@take_back.register
+def _take_back_units(
+    held: HeldUnits, now_s: float, plan: shares.UnitPlan
+) -> None:
+    return None
+
+
+@functools.singledispatch
+def adopt(held: Held, now_s: float, grant: Any) -> None:
+    """Takes this host's grant as the row has it; None when it has none."""
+    raise TypeError(type(held).__name__)
+
+
+@adopt.register
+def _adopt_rate(
+    held: HeldRate, now_s: float, grant: shares.RateGrant | None
+) -> None:
+    if grant is None:
+        held.bucket.resize(now_s, 0.0, 0.0)
+        held.uncertain.clear()
+        return
+    _resize(held, now_s, grant)
+    held.bucket.put(held.uncertain.get(grant.write_id, 0.0))
+    held.uncertain.clear()
+
+
+@adopt.register
+def _adopt_units(
+    held: HeldUnits, now_s: float, grant: shares.UnitGrant | None
+) -> None:
+    held.units = grant.units if grant else 0
+    held.target = held.units
+    held.uncertain.clear()
+
+
+@functools.singledispatch
+def keep(held: Held, plan: Any) -> None:
+    """Takes a plan that isn't worth a transaction."""
+    raise TypeError(type(held).__name__)
+
+
+@keep.register
+def _keep_rate(held: HeldRate, plan: shares.RatePlan) -> None:
+    return None
+
+
+@keep.register
+def _keep_units(held: HeldUnits, plan: shares.UnitPlan) -> None:
+    held.target = min(held.units, plan.target)
+
+
+@functools.singledispatch
+def is_short(held: Held) -> bool:
+    """Returns whether requests were refused for want of a larger share."""
+    raise TypeError(type(held).__name__)
+
+
+@is_short.register(HeldRate)
+@is_short.register(HeldUnits)
+def _is_short(held: Held) -> bool:
+    return held.refused > 0
+
+
+class ShareHolder:
+    """The shares of one host."""
+
+    def __init__(
+        self,
+        host: models.HostId,
+        incarnation: sessions.Incarnation,
+        rng: random.Random,
+        lease_s: float = sessions.LEASE_S,
+    ):
+        """Starts without shares.
+
+        Args:
+            host: This host.
+            incarnation: Differs for each start of the process.
+            rng: Source of the jitter of its requests.
+            lease_s: Length of the session's lease.
+        """
+        self.host = host
+        self.incarnation = incarnation
+        self.rng = rng
+        self.lease_s = lease_s
+        self.clock = sessions.StoreClock()
+        self.witness = sessions.Witness(host, incarnation)
+        self.phase = Phase.HOLDING
+        self.held: dict[shares.LimitKey, Held] = {}
+        self.retiring: set[shares.LimitKey] = set()
+        self.rows: dict[str, models.TableRow] = {}
+        self.peers: tuple[models.HostId, ...] = ()
+        self.pending: Pending | None = None
+        self.fresh = False
+        self.next_s = 0.0
+        self.failures = 0
+        self.conflicts = 0
+        self.writes = 0
+        self.next_sessions_s = 0.0
+        self.epoch = 0
+        self._open_session()
+
+    def _open_session(self) -> None:
+        """Starts another session; nothing of an earlier one is held."""
+        self.epoch += 1
+        self.session = sessions.session_id(
+            self.host, self.incarnation, self.epoch
+        )
+        self.session_version = 0
+        self.valid_until_s = -math.inf
+        self.lease_end_s = -math.inf
+        self.named: set[sessions.WitnessId] = set()
+        self.candidate = models.HostId("")
+        self.term = 0
+        self.candidate_s = -math.inf
+        self.uncertain_ends: dict[str, tuple[float, sessions.Session]] = {}
+        self.acked_s: dict[sessions.WitnessId, float] = {}
+        self.waived: set[sessions.WitnessId] = set()
+        self.sequence = 0
+        self.sent_s: dict[int, float] = {}
+        self.next_heartbeat_s = 0.0
+        for key, held in self.held.items():
+            empty = make_held(held.limit)
+            empty.refused = held.refused
+            if isinstance(held, HeldRate) and isinstance(empty, HeldRate):
+                empty.meter = held.meter
+            self.held[key] = empty
+        self._index()
+
+    # Configuration and peers.
+
+    def set_limits(self, limits: Iterable[shares.Limit]) -> None:
+        """Replaces the limits; holdings of known limits go on.
+
+        Shares of a limit that is gone are returned, and not used before.
+        """
+        wanted = {limit.key: limit for limit in limits}
+        for key, limit in wanted.items():
+            held = self.held.get(key)
+            if held is None or type(held.limit) is not type(limit):
+                self.held[key] = make_held(limit)
+                continue
+            held.limit = limit
+        returned = self.retiring
+        self.retiring = set(self.held) - set(wanted)
+        for key in returned & set(wanted):
+            self.held[key].uncertain.setdefault("", 0.0)
+        self._index()
+        self.next_s = min(self.next_s, 0.0)
+
+    def _index(self) -> None:
+        """Makes the maps of the holdings that may be spent."""
+        self.tenants: dict[str, HeldRate] = {}
+        self.links: dict[tuple[str, ...], HeldRate] = {}
+        self.placements: dict[tuple[str, ...], HeldUnits] = {}
+        for key, held in self.held.items():
+            if key in self.retiring:
+                continue
+            _, kind, *names = key.split("/")
+            if isinstance(held, HeldUnits):
+                self.placements[tuple(names)] = held
+            elif kind == "tenant":
+                self.tenants[names[0]] = held
+            else:
+                self.links[tuple(names)] = held
+
+    def set_peers(self, peers: Sequence[models.HostId]) -> None:
+        """Sets the live hosts that may be this host's witness."""
+        self.peers = tuple(host for host in peers if host != self.host)
+
+    # Admission.
+
+    def admit(
+        self, now_s: float, tenant: models.TenantId, cost: float = 1.0
+    ) -> Admission:
+        """Returns whether a tenant's request is within its rate."""
+        held = self.tenants.get(tenant)
+        if held is None:
+            return Admission(False, DEFAULT_RETRY_AFTER_S)
+        held.meter.count += cost
+        if now_s < self.valid_until_s and held.bucket.take(now_s, cost):
+            return ADMITTED
+        if held.refused == 0:
+            self._hurry(now_s)
+        held.refused += cost
+        wait_s = held.bucket.wait_s(cost)
+        if wait_s is None or now_s >= self.valid_until_s:
+            wait_s = DEFAULT_RETRY_AFTER_S
+        return Admission(False, max(wait_s, 0.001))
+
+    def acquire(
+        self,
+        now_s: float,
+        service: models.ServiceId,
+        region: models.RegionId,
+    ) -> Unit | None:
+        """Returns a unit of a placement, or None when none is free here."""
+        held = self.placements.get((service, region))
+        if held is None:
+            return None
+        in_use = held.in_use
+        if now_s < self.valid_until_s and in_use < held.target:
+            held.in_use = in_use + 1
+            if in_use >= held.peak.current:
+                held.peak.current = in_use + 1
+            return Unit(held.limit.key, self.session)
+        if held.refused == 0:
+            self._hurry(now_s)
+        held.refused += 1
+        return None
+
+    def free_units(
+        self,
+        now_s: float,
+        service: models.ServiceId,
+        region: models.RegionId,
+    ) -> int:
+        """Returns the units of a placement that are free on this host."""
+        held = self.placements.get((service, region))
+        if held is None or now_s >= self.valid_until_s:
+            return 0
+        return max(0, held.target - held.in_use)
+
+    def release(self, now_s: float, unit: Unit) -> None:
+        """Takes a unit back when its request has ended."""
+        held = self.held.get(unit.key)
+        if unit.session != self.session or not isinstance(held, HeldUnits):
+            return
+        held.in_use = max(0, held.in_use - 1)
+        if held.units > held.target and held.in_use >= held.target:
+            self._hurry(now_s)
+
+    def reserve_bytes(
+        self,
+        now_s: float,
+        source: models.RegionId,
+        target: models.RegionId,
+        size: float,
+    ) -> Reservation | None:
+        """Sets bytes of a link aside; None when too few are left."""
+        held = self.links.get((source, target))
+        if held is None:
+            return None
+        held.meter.count += size
+        if now_s < self.valid_until_s and held.bucket.reserve(now_s, size):
+            return Reservation(held.limit.key, self.session, size)
+        if held.refused == 0:
+            self._hurry(now_s)
+        held.refused += size
+        return None
+
+    def settle_bytes(
+        self, now_s: float, reservation: Reservation, used: float
+    ) -> None:
+        """Ends a reservation; bytes that were not sent are put back."""
+        held = self.held.get(reservation.key)
+        if reservation.session != self.session:
+            return
+        if not isinstance(held, HeldRate):
+            return
+        held.meter.count -= max(0.0, reservation.size - used)
+        held.bucket.settle(now_s, reservation.size, used)
+
+    def valid(
+        self, now_s: float, held: Unit | Reservation | None = None
+    ) -> bool:
+        """Returns whether shares may be spent; checked right before sending.
+
+        Args:
+            now_s: Monotonic time.
+            held: What the request was given; it must be of this session.
+        """
+        if held is not None and held.session != self.session:
+            return False
+        return now_s < self.valid_until_s
+
+    def retry_after_s(self) -> float:
+        """Returns when to come back after `acquire` returned None."""
+        return UNIT_RETRY_AFTER_S
+
+    def release_all(self, now_s: float) -> None:
+        """Returns all shares, for a planned stop; admits nothing from now on.
+
+        The return is carried out by further calls of `next_request` until
+        the phase is RETURNED.
+        """
+        if self.phase is Phase.HOLDING:
+            self.phase = Phase.RETURNING
+        self.valid_until_s = -math.inf
+        self.next_s = min(self.next_s, now_s)
+
+    # Exchange with the table service.
+
+    def _hurry(self, now_s: float) -> None:
+        """Brings the next read forward, unless the store is failing."""
+        if self.failures:
+            return
+        wait_s = BUSY_READ_S * self.rng.uniform(0.2, 1.0)
+        self.next_s = min(self.next_s, now_s + wait_s)
+
+    def next_request(self, now_s: float) -> Request | None:
+        """Returns what to ask of the table service now, if anything.
+
+        The answer must be handed to one of the `on_` methods before the next
+        call yields anything.
+        """
+        if self.pending or now_s < self.next_s:
+            return None
+        if self.phase is Phase.RETURNED:
+            return None
+        if self.fresh:
+            self.fresh = False
+            transaction = self._transaction(now_s)
+            if transaction:
+                return transaction
+            self._schedule(now_s)
+            return None
+        self.pending = Pending(now_s)
+        return ReadRequest(self._read_keys(now_s))
+
+    def _read_keys(self, now_s: float) -> tuple[str, ...]:
+        """Returns the rows to read: shares, and at times their sessions."""
+        keys = list(self.held)
+        own_key = sessions.session_key(self.session)
+        names = [own_key]
+        if now_s >= self.next_sessions_s:
+            self.next_sessions_s = now_s + SESSION_READ_S
+            seen = {grant.session for grant in self._grants()}
+            names = [sessions.session_key(name) for name in sorted(seen)]
+            if own_key not in names:
+                names.append(own_key)
+        return (*keys, *names)
+
+    def _grants(self) -> Iterable[Any]:
+        """Yields all grants of the rows last seen."""
+        for key, held in self.held.items():
+            row = self.rows.get(key)
+            if row is None:
+                continue
+            share = shares.parse_share(held.limit, row.value)
+            if share is not None:
+                yield from share.grants
+
+    def _schedule(self, now_s: float) -> None:
+        """Sets the time of the next read."""
+        short = any(is_short(held) for held in self.held.values())
+        wait_s = BUSY_READ_S if short else QUIET_READ_S
+        for held in self.held.values():
+            held.refused = 0
+        self.next_s = now_s + wait_s * self.rng.uniform(0.75, 1.25)
+
+    def _moment(self, now_s: float) -> shares.Moment:
+        """Returns the store's time and the sessions known to have ended."""
+        closed: dict[shares.SessionId, float] = {}
+        prefix = len(sessions.SESSION_PREFIX)
+        for key, row in self.rows.items():
+            if not key.startswith(sessions.SESSION_PREFIX):
+                continue
+            session = sessions.parse_session(row.value)
+            name = shares.SessionId(key[prefix:])
+            if session is None and name != self.session:
+                closed[name] = -math.inf
+            elif session is not None and session.closed_s is not None:
+                closed[name] = session.closed_s
+        return shares.Moment(
+            self.clock.earliest_s(now_s), self.clock.latest_s(now_s), closed
+        )
+
+    def _transaction(self, now_s: float) -> models.Transaction | None:
+        """Returns the transaction that suits the rows last read."""
+        moment = self._moment(now_s)
+        leaving = self.phase is Phase.RETURNING
+        self.writes += 1
+        pending = Pending(now_s, f"{self.session}#{self.writes}")
+        writes: list[models.Write] = []
+        for key in self._plan_keys():
+            held = self.held[key]
+            row = self.rows.get(key)
+            if row is None or row.version < held.uncertain_version:
+                continue
+            share = shares.parse_share(held.limit, row.value)
+            returning = leaving or key in self.retiring
+            if returning and not (share and self._own_grant(share)):
+                self._forget(key)
+                continue
+            plan = make_plan(
+                held, share, self.session, pending.write_id, now_s, moment,
+                returning,
+            )  # fmt: skip
+            if not plan.worthwhile:
+                keep(held, plan)
+                continue
+            pending.plans[key] = plan
+            pending.conditions[key] = row.version
+            writes.append(models.Write(key, shares.share_value(plan.share)))
+        writes.extend(self._session_writes(now_s, moment, pending))
+        if not writes:
+            if leaving and self._returns_all(pending):
+                self.phase = Phase.RETURNED
+            return None
+        for key, plan in pending.plans.items():
+            give_up(self.held[key], now_s, plan)
+        self.pending = pending
+        conditions = tuple(
+            models.Condition(key, version)
+            for key, version in pending.conditions.items()
+        )
+        return models.Transaction(conditions, tuple(writes))
+
+    def _forget(self, key: shares.LimitKey) -> None:
+        """Drops the holding of a limit that is gone, once it is returned."""
+        if key in self.retiring:
+            self.retiring.remove(key)
+            del self.held[key]
+            self._index()
+
+    def _plan_keys(self) -> Sequence[shares.LimitKey]:
+        """Returns the limits to plan; fewer after repeated conflicts."""
+        keys = list(self.held)
+        if self.conflicts < 2:
+            return keys
+        short = [key for key in keys if is_short(self.held[key])]
+        if short:
+            keys = short
+        count = max(1, len(keys) >> (self.conflicts - 1))
+        return self.rng.sample(keys, count)
+
+    def _own_grant(self, share: Any) -> Any:
+        """Returns this session's grant in a share, or None."""
+        for grant in share.grants:
+            if grant.session == self.session:
+                return grant
+        return None
+
+    def _session_writes(
+        self, now_s: float, moment: shares.Moment, pending: Pending
+    ) -> Iterable[models.Write]:
+        """Yields the writes of session rows, this host's and ended ones."""
+        own_key = sessions.session_key(self.session)
+        if self.phase is Phase.RETURNING:
+            row = self.rows.get(own_key)
+            gone = row is None or row.value is None
+            if row is not None and not gone and self._returns_all(pending):
+                pending.conditions[own_key] = row.version
+                yield models.Write(own_key, None)
+        elif self._session_due(now_s, bool(pending.plans)):
+            session = sessions.Session(
+                self.host,
+                pending.write_id,
+                moment.latest_s + self.lease_s * (1 + 2 * sessions.CLOCK_DRIFT),
+                self._next_witness(now_s),
+            )
+            pending.session = session
+            pending.conditions[own_key] = self.session_version
+            yield models.Write(own_key, dataclasses.asdict(session))
+        yield from self._closing_writes(now_s, moment, pending)
+
+    def _returns_all(self, pending: Pending) -> bool:
+        """Returns whether no grant is left after a transaction."""
+        for key, held in self.held.items():
+            if key in pending.plans:
+                share: Any = pending.plans[key].share
+            else:
+                row = self.rows.get(key)
+                value = row.value if row else None
+                share = shares.parse_share(held.limit, value)
+            if share is not None and self._own_grant(share):
+                return False
+        return True
+
+    def _session_due(self, now_s: float, planned: bool) -> bool:
+        """Returns whether this host's session row must be written."""
+        if self.session_version == 0:
+            return planned
+        if now_s > self.lease_end_s - self.lease_s * (1 - RENEW_PART):
+            return True
+        witness = self._next_witness(now_s)
+        if witness is None:
+            return False
+        return self.named != {witness}
+
+    def _closing_writes(
+        self, now_s: float, moment: shares.Moment, pending: Pending
+    ) -> Iterable[models.Write]:
+        """Yields the writes that close or remove others' ended sessions."""
+        held_by = {grant.session for grant in self._grants()}
+        for key, row in list(self.rows.items()):
+            if not key.startswith(sessions.SESSION_PREFIX):
+                continue
+            name = shares.SessionId(key[len(sessions.SESSION_PREFIX) :])
+            session = sessions.parse_session(row.value)
+            if session is None or name == self.session:
+                if session is None and name not in held_by:
+                    del self.rows[key]
+                continue
+            value: dict[str, Any] | None = None
+            if session.closed_s is None:
+                lapsed_s = session.end_s + sessions.LEASE_MARGIN_S
+                lapsed = moment.earliest_s > lapsed_s
+                own = name.startswith(f"{self.host}/{self.incarnation}.")
+                if not (lapsed or own) and not self.witness.may_close(
+                    now_s, name, session
+                ):
+                    continue
+                value = dataclasses.asdict(
+                    dataclasses.replace(session, closed_s=moment.latest_s)
+                )
+            elif (
+                name in held_by
+                or moment.earliest_s
+                < session.closed_s + sessions.SESSION_KEEP_S
+            ):
+                continue
+            pending.conditions[key] = row.version
+            yield models.Write(key, value)
+
+    def on_page(self, now_s: float, page: models.TablePage) -> None:
+        """Takes the answer to a read."""
+        pending = self.pending
+        self.pending = None
+        if pending is None:
+            return
+        self.clock.observe(pending.sent_s, now_s, page.now_s)
+        self.failures = 0
+        self._adopt_rows(now_s, page.rows)
+        self.fresh = True
+
+    def _adopt_rows(
+        self, now_s: float, rows: Iterable[models.TableRow]
+    ) -> None:
+        """Takes rows as stored, and this host's part of them."""
+        own_key = sessions.session_key(self.session)
+        for row in rows:
+            known = self.rows.get(row.key)
+            if known is not None and known.version > row.version:
+                continue
+            self.rows[row.key] = row
+            held = self.held.get(shares.LimitKey(row.key))
+            if held is not None:
+                self._adopt_share(now_s, held, row)
+                continue
+            if row.key == own_key:
+                self._adopt_session(now_s, row)
+                if own_key != sessions.session_key(self.session):
+                    return
+
+    def _adopt_share(
+        self, now_s: float, held: Held, row: models.TableRow
+    ) -> None:
+        """Takes this host's part of a share row.
+
+        While the row still has the version on which a transaction of unknown
+        outcome was conditional, that transaction may yet take effect, and the
+        smaller outcome stands.
+        """
+        if held.uncertain and row.version <= held.uncertain_version:
+            return
+        share = shares.parse_share(held.limit, row.value)
+        grant = None if share is None else self._own_grant(share)
+        changed = bool(held.uncertain) or grant is None
+        held.uncertain_version = 0
+        if changed:
+            adopt(held, now_s, grant)
+
+    def _adopt_session(self, now_s: float, row: models.TableRow) -> None:
+        """Takes this host's session row; another session if it has ended."""
+        session = sessions.parse_session(row.value)
+        if session is None or session.closed_s is not None:
+            if row.version > 0 and self.phase is Phase.HOLDING:
+                self._open_session()
+            return
+        if row.version == self.session_version:
+            return
+        uncertain = self.uncertain_ends.pop(session.write_id, None)
+        if uncertain is not None:
+            self._take_session(uncertain[0], session, row.version)
+        self.uncertain_ends.clear()
+        self._update_validity()
+
+    def _take_session(
+        self, sent_s: float, session: sessions.Session, version: int
+    ) -> None:
+        """Takes a written session row of this host as its present one."""
+        self.session_version = version
+        self.lease_end_s = max(self.lease_end_s, sent_s + self.lease_s)
+        self.named = {session.witness} if session.witness else set()
+        self._update_validity()
+
+    def on_commit(self, now_s: float, commit: models.Commit) -> None:
+        """Takes the news that the transaction took effect."""
+        pending = self.pending
+        self.pending = None
+        if pending is None:
+            return
+        self.clock.observe(pending.sent_s, now_s, commit.now_s)
+        self.failures = 0
+        self.conflicts = 0
+        for key, plan in pending.plans.items():
+            held = self.held.get(key)
+            if held is None:
+                continue
+            take_up(held, now_s, plan)
+            held.uncertain_version = 0
+            self.rows[key] = models.TableRow(
+                key, commit.version, shares.share_value(plan.share)
+            )
+        if pending.session is not None:
+            self.uncertain_ends.clear()
+            self._take_session(pending.sent_s, pending.session, commit.version)
+        if self.phase is Phase.RETURNING:
+            self.next_s = now_s
+            return
+        self._schedule(now_s)
+
+    def on_conflict(
+        self, now_s: float, rows: Sequence[models.TableRow]
+    ) -> None:
+        """Takes a refused transaction and the rows as stored."""
+        self._undo(now_s)
+        self.conflicts = min(self.conflicts + 1, 6)
+        self._adopt_rows(now_s, rows)
+        self.fresh = True
+        wait_s = CONFLICT_S * (1 << self.conflicts)
+        self.next_s = now_s + self.rng.uniform(0.0, wait_s)
+
+    def on_unavailable(self, now_s: float) -> None:
+        """Takes the news that the store took no request."""
+        self._undo(now_s)
+        self._back_off(now_s)
+
+    def on_unknown(self, now_s: float) -> None:
+        """Takes the loss of an answer; a transaction may have taken effect."""
+        pending = self.pending
+        self.pending = None
+        self._back_off(now_s)
+        if pending is None:
+            return
+        for key, plan in pending.plans.items():
+            held = self.held.get(key)
+            if held is None:
+                continue
+            gain = plan.tokens if isinstance(plan, shares.RatePlan) else 0.0
+            held.uncertain[pending.write_id] = max(0.0, gain)
+            held.uncertain_version = pending.conditions[key]
+        if pending.session is not None:
+            self.uncertain_ends[pending.write_id] = (
+                pending.sent_s,
+                pending.session,
+            )
+            if pending.session.witness:
+                self.named.add(pending.session.witness)
+            self._update_validity()
+
+    def _undo(self, now_s: float) -> None:
+        """Takes back what a transaction without effect would have moved."""
+        pending = self.pending
+        self.pending = None
+        if pending is None:
+            return
+        for key, plan in pending.plans.items():
+            held = self.held.get(key)
+            row = self.rows.get(key)
+            if held is None or row is None or held.uncertain:
+                continue
+            share = shares.parse_share(held.limit, row.value)
+            grant = None if share is None else self._own_grant(share)
+            adopt(held, now_s, grant)
+            take_back(held, now_s, plan)
+
+    def _back_off(self, now_s: float) -> None:
+        """Waits longer after each failure of the store."""
+        self.failures = min(self.failures + 1, 8)
+        self.fresh = False
+        wait_s = min(MAX_RETRY_S, RETRY_S * self.failures)
+        self.next_s = now_s + wait_s * self.rng.uniform(0.5, 1.0)
+
+    # Exchange with the witness.
+
+    def _update_validity(self) -> None:
+        """Computes until when shares may be spent."""
+        if self.phase is not Phase.HOLDING or self.session_version == 0:
+            self.valid_until_s = -math.inf
+            return
+        until_s = self.lease_end_s
+        for witness in self.named - self.waived:
+            acked_s = self.acked_s.get(witness, -math.inf)
+            until_s = min(until_s, acked_s + sessions.WITNESS_TIMEOUT_S)
+        self.valid_until_s = until_s
+
+    def _next_witness(self, now_s: float) -> sessions.WitnessId | None:
+        """Returns the witness that the session row should name.
+
+        Only a host that has just acknowledged a heartbeat is named, so that
+        naming it does not interrupt the use of shares.
+        """
+        named = [one for one in self.named if self._is_prompt(now_s, one)]
+        if named:
+            return named[0]
+        for witness in self.acked_s:
+            if witness.host != self.candidate or witness.term != self.term:
+                continue
+            if self._is_prompt(now_s, witness):
+                return witness
+        return None
+
+    def _is_prompt(self, now_s: float, witness: sessions.WitnessId) -> bool:
+        """Returns whether a witness that stays has answered just now."""
+        if witness in self.waived:
+            return False
+        acked_s = self.acked_s.get(witness, -math.inf)
+        return acked_s >= now_s - sessions.WITNESS_DOUBT_S
+
+    def heartbeats(
+        self, now_s: float
+    ) -> tuple[tuple[models.HostId, sessions.Heartbeat], ...]:
+        """Returns the heartbeats to send now, with their receivers."""
+        if now_s < self.next_heartbeat_s or self.phase is not Phase.HOLDING:
+            return ()
+        self.next_heartbeat_s = now_s + sessions.HEARTBEAT_S
+        terms = {
+            (witness.host, witness.term) for witness in self.named - self.waived
+        }
+        if self.peers and not self._has_prompt_witness(now_s):
+            self._choose_candidate(now_s)
+            terms.add((self.candidate, self.term))
+        self.sequence += 1
+        self.sent_s[self.sequence] = now_s
+        self.sent_s.pop(self.sequence - 64, None)
+        return tuple(
+            (host, sessions.Heartbeat(self.session, term, self.sequence))
+            for host, term in sorted(terms)
+        )
+
+    def _has_prompt_witness(self, now_s: float) -> bool:
+        """Returns whether the session has a single witness that answers."""
+        return len(self.named) == 1 and all(
+            self._is_prompt(now_s, witness) for witness in self.named
+        )
+
+    def _choose_candidate(self, now_s: float) -> None:
+        """Keeps a peer that may become the witness; another after a time."""
+        stale = now_s > self.candidate_s + sessions.WITNESS_DOUBT_S
+        if not stale and self.candidate in self.peers:
+            return
+        avoided = {witness.host for witness in self.named}
+        avoided.add(self.candidate)
+        choices = [host for host in self.peers if host not in avoided]
+        self.candidate = self.rng.choice(choices or self.peers)
+        self.candidate_s = now_s
+        self.term += 1
+
+    def on_acknowledgement(
+        self, now_s: float, answer: sessions.Acknowledgement
+    ) -> None:
+        """Takes a witness's answer to a heartbeat, late ones included."""
+        if answer.session != self.session:
+            return
+        sent_s = self.sent_s.get(answer.sequence)
+        if sent_s is None:
+            return
+        if not answer.accepted:
+            self._on_refusal(now_s, answer.witness)
+            return
+        last_s = self.acked_s.get(answer.witness, -math.inf)
+        self.acked_s[answer.witness] = max(last_s, sent_s)
+        if answer.witness.term == self.term:
+            self.candidate_s = now_s
+        if answer.waived:
+            self.waived.add(answer.witness)
+        if answer.witness not in self.named:
+            self._hurry(now_s)
+        self._update_validity()
+
+    def _on_refusal(self, now_s: float, witness: sessions.WitnessId) -> None:
+        """Ends the session when a named witness treats it as ended."""
+        self.acked_s.pop(witness, None)
+        if witness in self.named and witness not in self.waived:
+            self._open_session()
+            self._hurry(now_s)
+
+    def on_heartbeat(
+        self, now_s: float, heartbeat: sessions.Heartbeat
+    ) -> sessions.Acknowledgement:
+        """Answers a peer's heartbeat as its witness."""
+        return self.witness.on_heartbeat(now_s, heartbeat)
--- /dev/null
+++ b/src/banyanshed/shares.py
@@ -0,0 +1,647 @@
+"""Limits divided into shares: the rows share/LIMIT of the table service.
+
+All functions are pure. Times are seconds of the table service's clock, known
+to a host only between two bounds.
+"""
+
+from collections.abc import Mapping, Sequence
+import dataclasses
+import functools
+import math
+from typing import Any, Literal, NewType
+
+import pydantic
+
+from banyanshed import models
+from banyanshed import rows
+
+TENANT_PREFIX = "share/tenant/"
+PLACEMENT_PREFIX = "share/placement/"
+LINK_PREFIX = "share/link/"
+SHIFT_INTERVAL_S = 10.0
+COOLING_S = 20.0
+LINK_BURST_S = 1.0
+EVEN_PART = 0.2
+RESERVE_PART = 0.04
+LEVEL_STEP_S = 0.4
+MIN_HOST_BURST = 8
+
+LimitKey = NewType("LimitKey", str)
+SessionId = NewType("SessionId", str)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """A rate and a burst over all hosts: of a tenant, or bytes of a link.
+
+    Attributes:
+        key: Key of its row in the table service.
+        version: Version of the configuration that gave it.
+        rate: Requests or bytes a second.
+        burst: Requests or bytes.
+        linger_s: Longest time a request may go on after its admission.
+    """
+
+    key: LimitKey
+    version: models.ConfigVersion
+    rate: float
+    burst: float
+    linger_s: float = 0.0
+    kind: Literal["rate"] = "rate"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnitLimit:
+    """Concurrent requests of a service in a region, over all hosts.
+
+    Attributes:
+        key: Key of its row in the table service.
+        version: Version of the configuration that gave it.
+        limit: Most requests at once.
+        weight: Part of the limit in use, in percent.
+        shift_cap: Most requests that may move in SHIFT_INTERVAL_S.
+        linger_s: Longest deadline of a request.
+    """
+
+    key: LimitKey
+    version: models.ConfigVersion
+    limit: int
+    weight: int
+    shift_cap: int
+    linger_s: float = 0.0
+    kind: Literal["units"] = "units"
+
+    @property
+    def target(self) -> int:
+        """Units that the weight leaves in use."""
+        return self.limit * self.weight // 100
+
+
+Limit = RateLimit | UnitLimit
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateGrant:
+    """A holder's part of a rate limit.
+
+    Attributes:
+        session: The holder's session.
+        write_id: Id of the holder's transaction that wrote the grant.
+        rate: Part of the rate.
+        burst: Part of the burst.
+        demand: Rate asked of the holder, refused requests included.
+        of_rate: Rate of the limit when it was granted.
+        of_burst: Burst of the limit when it was granted.
+    """
+
+    session: SessionId
+    write_id: str
+    rate: float
+    burst: float
+    demand: float
+    of_rate: float
+    of_burst: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnitGrant:
+    """A holder's units of a placement.
+
+    Attributes:
+        session: The holder's session.
+        write_id: Id of the holder's transaction that wrote the grant.
+        units: Requests that the holder may have at work.
+        used: Most requests that it had at work within COOLING_S.
+        wanted: Units that it asks for.
+        of_limit: The limit when they were granted.
+    """
+
+    session: SessionId
+    write_id: str
+    units: int
+    used: int
+    wanted: int
+    of_limit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Level:
+    """Units in use over all hosts from a time on."""
+
+    at_s: float
+    used: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateShare:
+    """Row of a rate limit.
+
+    Attributes:
+        limit: Newest form of the limit that a holder applied.
+        pool_tokens: Tokens of the part that nobody holds, at `stamp_s`.
+        stamp_s: The pool refills from this time on.
+        grants: Parts that are held.
+    """
+
+    limit: RateLimit
+    pool_tokens: float
+    stamp_s: float
+    grants: tuple[RateGrant, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnitShare:
+    """Row of a unit limit.
+
+    Attributes:
+        limit: Newest form of the limit that a holder applied.
+        ceiling: Most units, at `ceiling_s`; falls at the cap's pace.
+        ceiling_s: Time of the ceiling.
+        levels: Units in use over the last SHIFT_INTERVAL_S, oldest first.
+        grants: Units that are held.
+    """
+
+    limit: UnitLimit
+    ceiling: float
+    ceiling_s: float
+    levels: tuple[Level, ...]
+    grants: tuple[UnitGrant, ...] = ()
+
+
+Share = RateShare | UnitShare
+RATE_ADAPTER: pydantic.TypeAdapter[RateShare] = pydantic.TypeAdapter(RateShare)
+UNIT_ADAPTER: pydantic.TypeAdapter[UnitShare] = pydantic.TypeAdapter(UnitShare)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moment:
+    """Bounds of the table service's clock, and what is known of sessions.
+
+    Attributes:
+        earliest_s: The clock has surely reached this.
+        latest_s: The clock has surely not passed this.
+        closed: Time at which each closed session had surely stopped.
+    """
+
+    earliest_s: float
+    latest_s: float
+    closed: Mapping[SessionId, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateAsk:
+    """What a holder asks of a rate limit.
+
+    Attributes:
+        demand: Rate asked of it, refused requests included.
+        tokens: Tokens that it has now.
+        reserved: Tokens reserved and not settled.
+        leaving: Everything is returned.
+    """
+
+    session: SessionId
+    write_id: str
+    demand: float
+    tokens: float
+    reserved: float = 0.0
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnitAsk:
+    """What a holder asks of a unit limit.
+
+    Attributes:
+        in_use: Requests at work now; their units can't be returned.
+        used: Most requests at work within COOLING_S.
+        wanted: Units that it asks for.
+        leaving: Everything is returned.
+    """
+
+    session: SessionId
+    write_id: str
+    in_use: int
+    used: int
+    wanted: int
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RatePlan:
+    """A row to write, and the tokens that the holder gets or gives up."""
+
+    share: RateShare
+    grant: RateGrant
+    tokens: float
+    worthwhile: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnitPlan:
+    """A row to write.
+
+    Attributes:
+        share: The row.
+        grant: The holder's part.
+        target: Units that the holder may fill from now on; it returns those
+            above as their requests end.
+        worthwhile: The row differs enough to be written.
+    """
+
+    share: UnitShare
+    grant: UnitGrant
+    target: int
+    worthwhile: bool
+
+
+def tenant_key(tenant: models.TenantId) -> LimitKey:
+    """Returns the key of a tenant's share row."""
+    return LimitKey(f"{TENANT_PREFIX}{tenant}")
+
+
+def placement_key(
+    service: models.ServiceId, region: models.RegionId
+) -> LimitKey:
+    """Returns the key of a placement's share row."""
+    return LimitKey(f"{PLACEMENT_PREFIX}{service}/{region}")
+
+
+def link_key(source: models.RegionId, target: models.RegionId) -> LimitKey:
+    """Returns the key of a link's share row."""
+    return LimitKey(f"{LINK_PREFIX}{source}/{target}")
+
+
+def limits_of(
+    config_rows: Sequence[rows.AnyRow], version: models.ConfigVersion
+) -> tuple[Limit, ...]:
+    """Returns the limits that rows of the configuration set."""
+    deadlines_s = {
+        row.service: row.deadline_s
+        for row in config_rows
+        if isinstance(row, rows.ServiceRow)
+    }
+    longest_s = max(deadlines_s.values(), default=0.0)
+    limits: list[Limit] = []
+    for row in config_rows:
+        if isinstance(row, rows.TenantRow):
+            key = tenant_key(models.TenantId(row.tenant))
+            limits.append(RateLimit(key, version, row.rate, row.burst))
+            continue
+        if isinstance(row, rows.LinkRow):
+            limits.append(link_limit(row, version, longest_s))
+            continue
+        if not isinstance(row, rows.PlacementRow):
+            continue
+        key = placement_key(
+            models.ServiceId(row.service), models.RegionId(row.region)
+        )
+        limits.append(
+            UnitLimit(
+                key,
+                version,
+                row.limit,
+                row.weight,
+                row.shift_cap,
+                deadlines_s.get(row.service, longest_s),
+            )
+        )
+    return tuple(limits)
+
+
+def link_limit(
+    row: rows.LinkRow, version: models.ConfigVersion, linger_s: float
+) -> RateLimit:
+    """Returns the limit of a link; its burst is LINK_BURST_S of its rate."""
+    key = link_key(models.RegionId(row.source), models.RegionId(row.target))
+    burst = row.bytes_per_s * LINK_BURST_S
+    return RateLimit(key, version, row.bytes_per_s, burst, linger_s)
+
+
+def hosts_for_burst(burst: float, hosts: int) -> int:
+    """Returns the number of hosts that a tenant is best steered to.
+
+    A tenant's burst is divided between the hosts that serve it; with too few
+    tokens each, chance alone exhausts one host while another has plenty.
+    """
+    return max(1, min(hosts, int(burst // MIN_HOST_BURST)))
+
+
+@functools.singledispatch
+def parse_share(limit: Limit, value: Mapping[str, Any] | None) -> Share | None:
+    """Returns a share from the value of its row; None when absent."""
+    raise TypeError(type(limit).__name__)
+
+
+@parse_share.register
+def _parse_rate(
+    limit: RateLimit, value: Mapping[str, Any] | None
+) -> RateShare | None:
+    return None if value is None else RATE_ADAPTER.validate_python(value)
+
+
+@parse_share.register
+def _parse_units(
+    limit: UnitLimit, value: Mapping[str, Any] | None
+) -> UnitShare | None:
+    return None if value is None else UNIT_ADAPTER.validate_python(value)
+
+
+def share_value(share: Share) -> dict[str, Any]:
+    """Returns the value of a share's row."""
+    return dataclasses.asdict(share)
+
+
+def newer_limit(limit: Limit, share: Share | None) -> Any:
+    """Returns the newer of the limit known to a host and the row's."""
+    if share is None or limit.version >= share.limit.version:
+        return limit
+    return share.limit
+
+
+def is_free(session: SessionId, limit: Limit, moment: Moment) -> bool:
+    """Returns whether a closed session can't have any effect any more."""
+    closed_s = moment.closed.get(session)
+    if closed_s is None:
+        return False
+    return moment.earliest_s > closed_s + limit.linger_s
+
+
+def plan_rate(
+    limit: RateLimit, share: RateShare | None, ask: RateAsk, moment: Moment
+) -> RatePlan:
+    """Returns a rate limit's row with the holder's part moved to its demand.
+
+    The sum of all parts and of the pool never exceeds the limit, and tokens
+    are only moved: what a holder gives up it must stop spending before the
+    row is written, and what it gets it may spend after.
+    """
+    limit = newer_limit(limit, share)
+    fresh = share is None
+    if share is None:
+        share = RateShare(limit, limit.burst, moment.latest_s)
+    others = tuple(
+        grant
+        for grant in share.grants
+        if grant.session != ask.session
+        and not is_free(grant.session, limit, moment)
+    )
+    old = next((g for g in share.grants if g.session == ask.session), None)
+    if old is None:
+        old = RateGrant(
+            ask.session, ask.write_id, 0, 0, 0, limit.rate, limit.burst
+        )
+    pool_tokens = _refilled_pool(share, moment)
+    free_rate = max(0.0, limit.rate - sum(grant.rate for grant in others))
+    free_burst = max(0.0, limit.burst - sum(grant.burst for grant in others))
+    rate, burst = _rate_target(limit, others, ask)
+    rate, burst = _fit_rate(limit, old, rate, burst, free_rate, free_burst)
+    burst = max(burst, min(ask.reserved, old.burst))
+    grant = RateGrant(
+        ask.session,
+        ask.write_id,
+        rate,
+        burst,
+        ask.demand,
+        limit.rate,
+        limit.burst,
+    )
+    tokens = min(burst - ask.reserved - ask.tokens, pool_tokens)
+    pool_room = max(0.0, free_burst - burst)
+    pool_tokens = min(pool_room, pool_tokens - tokens)
+    gone = ask.leaving and burst == 0
+    grants = others if gone else (*others, grant)
+    return RatePlan(
+        RateShare(limit, pool_tokens, moment.latest_s, grants),
+        grant,
+        tokens,
+        fresh
+        or gone
+        or len(others) + (old in share.grants) < len(share.grants)
+        or _rate_worthwhile(limit, share, old, grant, tokens),
+    )
+
+
+def _refilled_pool(share: RateShare, moment: Moment) -> float:
+    """Returns the tokens of the part of a rate limit that nobody holds."""
+    held_rate = sum(grant.rate for grant in share.grants)
+    held_burst = sum(grant.burst for grant in share.grants)
+    elapsed_s = max(0.0, moment.earliest_s - share.stamp_s)
+    refill = max(0.0, share.limit.rate - held_rate) * elapsed_s
+    room = max(0.0, share.limit.burst - held_burst)
+    return min(room, share.pool_tokens + refill)
+
+
+def _rate_target(
+    limit: RateLimit, others: Sequence[RateGrant], ask: RateAsk
+) -> tuple[float, float]:
+    """Returns the rate and the burst that suit the holder's demand."""
+    if ask.leaving:
+        return 0.0, 0.0
+    holders = len(others) + 1
+    demand = ask.demand + sum(grant.demand for grant in others)
+    even = EVEN_PART if limit.burst * EVEN_PART >= holders else 0.0
+    if demand <= 0:
+        part = 1.0 / holders if limit.burst >= holders else 0.0
+        return limit.rate * part, limit.burst * part
+    if not _has_whole_token(limit, others, ask):
+        return 0.0, 0.0
+    part = (1 - even) * ask.demand / demand + even / holders
+    part *= 1 - RESERVE_PART
+    return limit.rate * part, max(1.0, limit.burst * part)
+
+
+def _has_whole_token(
+    limit: RateLimit, others: Sequence[RateGrant], ask: RateAsk
+) -> bool:
+    """Returns whether the holder is among those that get a whole token.
+
+    A burst below the number of holders goes to those with most demand.
+    """
+    if limit.burst * (1 - RESERVE_PART) >= len(others) + 1:
+        return True
+    rank = sum(
+        (grant.demand, grant.session) > (ask.demand, ask.session)
+        for grant in others
+    )
+    return rank < int(limit.burst)
+
+
+def _fit_rate(
+    limit: RateLimit,
+    old: RateGrant,
+    rate: float,
+    burst: float,
+    free_rate: float,
+    free_burst: float,
+) -> tuple[float, float]:
+    """Returns the wanted rate and burst cut to what the limit leaves.
+
+    A grant of an earlier, larger limit shrinks in proportion, so that the
+    parts fit the new limit when each holder has renewed once.
+    """
+    scaled_rate = old.rate * min(1.0, limit.rate / old.of_rate)
+    scaled_burst = old.burst * min(1.0, limit.burst / old.of_burst)
+    rate = min(rate, max(free_rate, min(scaled_rate, rate)))
+    burst = min(burst, max(free_burst, min(scaled_burst, burst)))
+    if limit.burst >= 1 and burst < 1:
+        return 0.0, 0.0
+    return rate, burst
+
+
+def _rate_worthwhile(
+    limit: RateLimit,
+    share: RateShare,
+    old: RateGrant,
+    grant: RateGrant,
+    tokens: float,
+) -> bool:
+    """Returns whether a change of a rate grant is worth a transaction."""
+    if old.of_rate != limit.rate or old.of_burst != limit.burst:
+        return True
+    if old not in share.grants:
+        return True
+    change = abs(grant.rate - old.rate)
+    if change > 0.25 * old.rate + 0.002 * limit.rate:
+        return True
+    step = 0.5 * abs(old.demand - grant.demand)
+    return step > 0.25 * old.demand + 0.01 * limit.rate
+
+
+def plan_units(
+    limit: UnitLimit, share: UnitShare | None, ask: UnitAsk, moment: Moment
+) -> UnitPlan:
+    """Returns a unit limit's row with the holder's units moved to its need.
+
+    Units are open up to the smallest of the ceiling and the lowest use within
+    the last SHIFT_INTERVAL_S plus the shift cap.
+    """
+    limit = newer_limit(limit, share)
+    fresh = share is None
+    if share is None:
+        start = (Level(moment.latest_s, 0),)
+        share = UnitShare(limit, limit.target, moment.latest_s, start)
+    others = tuple(
+        grant
+        for grant in share.grants
+        if grant.session != ask.session
+        and not is_free(grant.session, limit, moment)
+    )
+    old = next((g for g in share.grants if g.session == ask.session), None)
+    held = old.units if old else 0
+    ceiling, ceiling_s = _ceiling(limit, share, moment)
+    open_units = min(
+        math.ceil(ceiling), limit.limit, _base(share, moment) + limit.shift_cap
+    )
+    free = open_units - sum(grant.units for grant in others)
+    target = _unit_target(limit, share, others, old, ask, open_units, free)
+    units = min(held, max(target, ask.in_use)) if target < held else target
+    used = min(units, ask.used)
+    grant = UnitGrant(
+        ask.session, ask.write_id, units, used, ask.wanted, limit.limit
+    )
+    grants = others if ask.leaving and units == 0 else (*others, grant)
+    levels = _levels(share, sum(g.used for g in grants), moment)
+    new = UnitShare(limit, ceiling, ceiling_s, levels, grants)
+    worthwhile = (
+        fresh
+        or (ask.leaving and old is not None and units == 0)
+        or old is None
+        or limit != share.limit
+        or units != held
+        or len(others) + 1 < len(share.grants)
+        or used > old.used
+        or levels[-1].used > share.levels[-1].used
+        or old.used - used > old.used // 4
+        or abs(ask.wanted - old.wanted) > old.wanted // 4
+    )
+    return UnitPlan(new, grant, target, worthwhile)
+
+
+def _ceiling(
+    limit: UnitLimit, share: UnitShare, moment: Moment
+) -> tuple[float, float]:
+    """Returns the most units and the time from which it falls further."""
+    used = sum(grant.used for grant in share.grants)
+    ceiling = min(share.ceiling, max(used, share.limit.target))
+    if limit.target >= ceiling:
+        return float(limit.target), moment.latest_s
+    if share.limit.target >= ceiling and limit != share.limit:
+        return float(min(ceiling, max(used, limit.target))), moment.latest_s
+    elapsed_s = max(0.0, moment.earliest_s - share.ceiling_s)
+    closed = limit.shift_cap * elapsed_s / SHIFT_INTERVAL_S
+    ceiling_s = max(share.ceiling_s, moment.earliest_s)
+    return max(limit.target, ceiling - closed), ceiling_s
+
+
+def _base(share: UnitShare, moment: Moment) -> int:
+    """Returns the lowest use within the last SHIFT_INTERVAL_S."""
+    start_s = moment.earliest_s - SHIFT_INTERVAL_S
+    lowest = share.levels[-1].used
+    for level in reversed(share.levels):
+        lowest = min(lowest, level.used)
+        if level.at_s <= start_s:
+            return lowest
+    return lowest if share.levels[0].at_s <= start_s else 0
+
+
+def _levels(share: UnitShare, used: int, moment: Moment) -> tuple[Level, ...]:
+    """Returns the levels of use with the present one added."""
+    last = share.levels[-1]
+    if used == last.used:
+        return share.levels
+    start_s = moment.earliest_s - SHIFT_INTERVAL_S
+    kept = list(share.levels)
+    while len(kept) > 1 and kept[1].at_s <= start_s:
+        del kept[0]
+    if moment.latest_s - last.at_s < LEVEL_STEP_S:
+        kept[-1] = Level(last.at_s, min(last.used, used))
+        return tuple(kept)
+    kept.append(Level(moment.latest_s, used))
+    return tuple(kept)
+
+
+def _unit_target(
+    limit: UnitLimit,
+    share: UnitShare,
+    others: Sequence[UnitGrant],
+    old: UnitGrant | None,
+    ask: UnitAsk,
+    open_units: int,
+    free: int,
+) -> int:
+    """Returns the units that the holder may fill from now on."""
+    if ask.leaving:
+        return 0
+    held = old.units if old else 0
+    if old is not None and old.of_limit > limit.limit:
+        return min(held * limit.limit // old.of_limit, ask.wanted)
+    excess = held - free
+    if excess > 0 and held > 0:
+        total = held + sum(grant.units for grant in others)
+        return held - min(held, math.ceil(excess * held / total))
+    wants = [grant.wanted for grant in others] + [ask.wanted]
+    if sum(wants) <= open_units:
+        idle = held - ask.wanted
+        if 0 < idle <= max(1, held // 4):
+            return held
+        return min(ask.wanted, max(free, 0))
+    sessions = [grant.session for grant in others] + [ask.session]
+    fair = apportion(open_units, wants, sessions)[-1]
+    return max(0, min(fair, free))
+
+
+def apportion(
+    total: int, weights: Sequence[int], names: Sequence[str]
+) -> list[int]:
+    """Divides whole units in proportion to weights, by largest remainders."""
+    weight = sum(weights)
+    if weight == 0 or total <= 0:
+        return [0] * len(weights)
+    parts = [total * one // weight for one in weights]
+    order = sorted(
+        range(len(weights)),
+        key=lambda i: (-(total * weights[i] % weight), names[i]),
+    )
+    for i in order[: total - sum(parts)]:
+        parts[i] += 1
+    return parts
--- /dev/null
+++ b/standins/memory.py
@@ -0,0 +1,64 @@
+"""Table service in memory, for the core's tests and measurements."""
+
+from collections.abc import Sequence
+import copy
+
+from banyanshed import exceptions
+from banyanshed import models
+
+
+class MemoryTable:
+    """The table service without transport; its clock is set from outside.
+
+    Attributes:
+        now_s: The service's clock.
+        commit: Number of the last commit.
+        rows: All rows ever written, by key.
+        reads: Reads served.
+        commits: Transactions that took effect.
+        conflicts: Transactions refused.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.now_s = 1e9
+        self.commit = 0
+        self.rows: dict[str, models.TableRow] = {}
+        self.reads = 0
+        self.commits = 0
+        self.conflicts = 0
+
+    def _row(self, key: str) -> models.TableRow:
+        """Returns a row, whether it exists or not."""
+        row = self.rows.get(key)
+        if row is None:
+            return models.TableRow(key, models.ABSENT_VERSION, None)
+        return row
+
+    def read(self, keys: Sequence[str]) -> models.TablePage:
+        """Returns the rows of the keys."""
+        self.reads += 1
+        rows = tuple(self._row(key) for key in keys)
+        return models.TablePage(rows, self.commit, self.now_s)
+
+    def transact(self, transaction: models.Transaction) -> models.Commit:
+        """Applies a transaction; raises ConditionFailed when refused."""
+        refused = []
+        for condition in transaction.conditions:
+            row = self._row(condition.key)
+            if condition.version == models.ABSENT_VERSION:
+                if row.value is not None:
+                    refused.append(row)
+                continue
+            if row.version != condition.version:
+                refused.append(row)
+        if refused:
+            self.conflicts += 1
+            raise exceptions.ConditionFailed(refused)
+        self.commit += 1
+        self.commits += 1
+        for write in transaction.writes:
+            value = copy.deepcopy(write.value)
+            row = models.TableRow(write.key, self.commit, value)
+            self.rows[write.key] = row
+        return models.Commit(self.commit, self.now_s)
