Add the transport to backend servers

Cause: an entry host must send a request once and hand back the whole answer to just this request, under a deadline for the whole attempt.

Change: Forwarder.send over urllib3 connections kept by address. A socket with one deadline for all its operations; it notes the end of the stream and bytes after an answer. A connection is used again only when its answer was whole, carried the request's id and left nothing behind. An answer without the id counts only as the first of its connection. Answer gets a field `leaving`.

Ruled out: urlopen of urllib3's pool. It gives a connection back before bytes after the answer are noticed, and its timeout is per receive, so that a trickle of header bytes outlives the deadline. Relying on http.client for truncation: it takes a chunk size cut within "0a" for the last chunk, and headers cut at a line's end for whole.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the product beside plain baselines."""
--- /dev/null
+++ b/src/banyanshed/forwarding.py
@@ -0,0 +1,527 @@
+"""Transport to backend servers: one attempt over urllib3, without retries.
+
+Blocks, and is called from pool threads. An answer is kept whole in memory
+before any of it goes to the caller. A connection is used again only when its
+last answer was whole, carried the id of its request and left nothing behind;
+any other connection is closed, so that an outstanding answer has nowhere to
+arrive.
+"""
+
+import collections
+from collections.abc import Iterable, Mapping
+import contextlib
+import dataclasses
+import http.client
+import io
+import socket
+import threading
+import time
+from typing import Any, Self
+
+import pydantic
+import urllib3
+from urllib3 import connection
+from urllib3 import exceptions as urllib3_exceptions
+
+from banyanshed import models
+from banyanshed import requests
+
+REQUEST_ID_HEADER = "Banyanshed-Request-Id"
+TENANT_HEADER = "Banyanshed-Tenant"
+DEADLINE_HEADER = "Banyanshed-Deadline-Ms"
+RAN_HEADER = "Banyanshed-Ran"
+LEAVING_HEADER = "Banyanshed-Leaving"
+OWN_PREFIX = "banyanshed-"
+REQUEST_ID_FIELD = REQUEST_ID_HEADER.lower()
+RAN_FIELD = RAN_HEADER.lower()
+LEAVING_FIELD = LEAVING_HEADER.lower()
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTION_S = 20.0
+PROBE_BYTES = 4096
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+SET_BY_TRANSPORT = frozenset({"content-length", "expect", "host"})
+
+EXCHANGE_ERRORS = (
+    OSError,
+    ValueError,
+    http.client.HTTPException,
+    urllib3_exceptions.HTTPError,
+)
+
+
+class AnswerReader(io.BufferedReader):
+    """Buffered reader of one answer that notices bytes after its end."""
+
+    def __init__(self, raw: io.RawIOBase, wire: "DeadlineSocket"):
+        """Reads from `raw`, the unbuffered file of the socket `wire`."""
+        super().__init__(raw)
+        self.wire = wire
+
+    def close(self) -> None:
+        """Closes the reader; records whether bytes were left in it."""
+        if not self.closed:
+            self.wire.reading = False
+            try:
+                surplus = bool(self.peek(1))
+            except OSError:
+                # Reading timed out, so that the answer is outstanding.
+                surplus = True
+            self.wire.surplus = self.wire.surplus or surplus
+        super().close()
+
+
+class DeadlineSocket(socket.socket):
+    """Socket whose operations share one deadline, and that records its end.
+
+    Attributes:
+        deadline_s: Monotonic time at which operations time out.
+        reading: False once the answer has been read to its end.
+        sent: Bytes of the request were handed to the socket.
+        send_failed: The request was not sent whole.
+        ended: The peer ended the stream while the answer was being read.
+        surplus: Bytes followed the answer.
+    """
+
+    def __init__(self, fileno: int):
+        """Takes over the descriptor of a connected socket."""
+        super().__init__(fileno=fileno)
+        self.start(0.0)
+
+    def start(self, deadline_s: float) -> None:
+        """Prepares for one request and its answer."""
+        self.deadline_s = deadline_s
+        self.reading = True
+        self.sent = False
+        self.send_failed = False
+        self.ended = False
+        self.surplus = False
+
+    def apply_deadline(self) -> None:
+        """Allows the next operation the time left; raises TimeoutError."""
+        left_s = self.deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("deadline passed")
+        self.settimeout(left_s)
+
+    def sendall(self, data: Any, flags: int = 0) -> None:
+        """Sends all data before the deadline."""
+        self.apply_deadline()
+        self.sent = True
+        try:
+            super().sendall(data, flags)
+        except OSError:
+            self.send_failed = True
+            raise
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Receives some bytes before the deadline; 0 at the end."""
+        if not self.reading:
+            return 0
+        self.apply_deadline()
+        count = super().recv_into(buffer, nbytes, flags)
+        if count == 0:
+            self.ended = True
+        return count
+
+    def makefile(self, *args: Any, **kwargs: Any) -> Any:
+        """Returns the reader of one answer."""
+        return AnswerReader(super().makefile("rb", buffering=0), self)
+
+
+class BackendConnection(connection.HTTPConnection):
+    """Connection to a backend server.
+
+    Attributes:
+        wire: Its socket; stays here when the answer closes the connection.
+        fresh: No answer has been read from it.
+        idle_since_s: Monotonic time of its last answer.
+    """
+
+    wire: DeadlineSocket
+    fresh = True
+    idle_since_s = 0.0
+
+    def connect(self) -> None:
+        """Connects; raises urllib3's errors before any byte is sent."""
+        super().connect()
+        self.wire = DeadlineSocket(self.sock.detach())
+        self.sock = self.wire
+
+    def receive(self) -> http.client.HTTPResponse:
+        """Returns the head of an answer, without urllib3's wrapper.
+
+        The wrapper decodes, retries and pools, none of which is wanted here,
+        at the cost of a quarter of the whole exchange.
+        """
+        return super(connection.HTTPConnection, self).getresponse()
+
+
+class Forwarder:
+    """Sends requests to backend servers over kept connections.
+
+    Attributes:
+        idle: Idle connections by address, the last used ones at the right.
+        opened: Connections opened so far.
+    """
+
+    def __init__(self) -> None:
+        """Starts without connections."""
+        self.idle: dict[str, collections.deque[BackendConnection]] = {}
+        self.opened = 0
+        self.closed = False
+        self.lock = threading.Lock()
+
+    def __enter__(self) -> Self:
+        """Returns itself, for exit stacks."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Closes idle connections."""
+        self.close()
+
+    def close(self) -> None:
+        """Closes idle connections; those at work close after their answer."""
+        with self.lock:
+            self.closed = True
+            stacks = list(self.idle.values())
+            self.idle.clear()
+        for stack in stacks:
+            for conn in stack:
+                conn.close()
+
+    def forget(self, address: str) -> None:
+        """Closes the idle connections to a backend server."""
+        with self.lock:
+            stack = self.idle.pop(address, None)
+        for conn in stack or ():
+            conn.close()
+
+    def send(
+        self,
+        request: requests.CallerRequest,
+        target: requests.Target,
+        tenant: models.TenantId | None,
+        time_left_s: float,
+        *,
+        answer_bytes: int,
+    ) -> requests.Answer | requests.AttemptFailure:
+        """Sends a request once and reads its whole answer.
+
+        Args:
+            request: Request of the caller.
+            target: Backend server chosen.
+            tenant: Tenant of the request; None on open routes.
+            time_left_s: Time for the whole attempt, in seconds.
+            answer_bytes: Largest body of an answer.
+
+        Returns:
+            The whole answer, or why there is none.
+        """
+        if time_left_s <= 0:
+            return requests.AttemptFailure(models.Ran.NO, "deadline")
+        deadline_s = time.monotonic() + time_left_s
+        headers = request_headers(request, tenant, time_left_s)
+        try:
+            conn = self.take(target.address, deadline_s)
+        except (OSError, ValueError, urllib3_exceptions.HTTPError):
+            return requests.AttemptFailure(models.Ran.NO, "connect_failed")
+        conn.wire.start(deadline_s)
+        try:
+            return self.exchange(conn, request, headers, answer_bytes)
+        except TimeoutError:
+            return requests.AttemptFailure(models.Ran.UNKNOWN, "deadline")
+        except EXCHANGE_ERRORS:
+            if not conn.wire.sent:
+                return requests.AttemptFailure(models.Ran.NO, "not_sendable")
+            code = "truncated" if conn.wire.ended else "connection_lost"
+            return requests.AttemptFailure(models.Ran.UNKNOWN, code)
+        finally:
+            self.give_back(target.address, conn)
+
+    def exchange(
+        self,
+        conn: BackendConnection,
+        request: requests.CallerRequest,
+        headers: Mapping[str, str],
+        answer_bytes: int,
+    ) -> requests.Answer | requests.AttemptFailure:
+        """Sends a request on a connection and reads its answer."""
+        reused = not conn.fresh
+        # Not reusable until the answer proves to be whole.
+        conn.fresh = True
+        conn.request(
+            request.method,
+            request.target,
+            body=request.body or None,
+            headers=headers,
+        )
+        response = conn.receive()
+        received = response.getheaders()
+        fields = fields_of(received)
+        fault = answer_fault(
+            response.status,
+            fields,
+            request,
+            reused=reused,
+            limit=answer_bytes,
+        )
+        if fault is not None:
+            return requests.AttemptFailure(models.Ran.UNKNOWN, fault)
+        leaving = fields.get(LEAVING_FIELD) == ["1"]
+        body = response.read(answer_bytes + 1)
+        if len(body) > answer_bytes:
+            return requests.AttemptFailure(
+                models.Ran.UNKNOWN, "answer_too_large", leaving
+            )
+        if conn.wire.ended:
+            return requests.AttemptFailure(
+                models.Ran.UNKNOWN, "truncated", leaving
+            )
+        conn.fresh = REQUEST_ID_FIELD not in fields
+        if response.status == 503 and fields.get(RAN_FIELD) == ["no"]:
+            return requests.AttemptFailure(
+                models.Ran.NO, "backend_refused", leaving, retry_after(fields)
+            )
+        kept = urllib3.HTTPHeaderDict(end_to_end(received))
+        return requests.Answer(response.status, kept, body, leaving)
+
+    def take(self, address: str, deadline_s: float) -> BackendConnection:
+        """Returns an idle connection that is still open, or a new one."""
+        oldest_s = time.monotonic() - IDLE_CONNECTION_S
+        while True:
+            with self.lock:
+                stack = self.idle.get(address)
+                conn = stack.pop() if stack else None
+            if conn is None:
+                self.opened += 1
+                return open_connection(address, deadline_s)
+            # A readable idle connection was closed or holds stray bytes.
+            if conn.idle_since_s > oldest_s and conn.is_connected:
+                return conn
+            conn.close()
+
+    def give_back(self, address: str, conn: BackendConnection) -> None:
+        """Keeps a connection for reuse, or closes it."""
+        wire = conn.wire
+        unclean = wire.ended or wire.surplus or wire.send_failed or wire.reading
+        if conn.fresh or unclean or conn.sock is None:
+            close_connection(conn)
+            return
+        now_s = time.monotonic()
+        conn.idle_since_s = now_s
+        stale = None
+        with self.lock:
+            kept = not self.closed
+            if kept:
+                stack = self.idle.setdefault(address, collections.deque())
+                stack.append(conn)
+                if now_s - stack[0].idle_since_s > IDLE_CONNECTION_S:
+                    stale = stack.popleft()
+        if not kept:
+            close_connection(conn)
+        if stale is not None:
+            close_connection(stale)
+
+
+def open_connection(address: str, deadline_s: float) -> BackendConnection:
+    """Opens a connection to "IP:port"; raises urllib3's errors."""
+    name, _, port = address.rpartition(":")
+    left_s = max(0.001, deadline_s - time.monotonic())
+    conn = BackendConnection(
+        name.strip("[]"), int(port), timeout=min(CONNECT_TIMEOUT_S, left_s)
+    )
+    conn.connect()
+    return conn
+
+
+def close_connection(conn: BackendConnection) -> None:
+    """Closes a connection, also where a reader of it is left over."""
+    # Without shutdown the descriptor lives on as long as its reader.
+    with contextlib.suppress(OSError):
+        conn.wire.shutdown(socket.SHUT_RDWR)
+    conn.close()
+    conn.wire.close()
+
+
+def request_headers(
+    request: requests.CallerRequest,
+    tenant: models.TenantId | None,
+    time_left_s: float,
+) -> dict[str, str]:
+    """Returns the headers to send to a backend server."""
+    headers = {}
+    for name, value in end_to_end(request.headers.items()):
+        if name.lower() not in SET_BY_TRANSPORT:
+            headers[name] = value
+    headers[REQUEST_ID_HEADER] = request.request_id
+    headers[DEADLINE_HEADER] = str(int(time_left_s * 1000))
+    if tenant is not None:
+        headers[TENANT_HEADER] = tenant
+    return headers
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Returns headers without hop-by-hop ones and ones of this system."""
+    lowered = [(name.lower(), name, value) for name, value in headers]
+    dropped = HOP_BY_HOP
+    for key, _, value in lowered:
+        if key == "connection":
+            dropped = dropped.union(
+                option.strip().lower() for option in value.split(",")
+            )
+    return [
+        (name, value)
+        for key, name, value in lowered
+        if key not in dropped and not key.startswith(OWN_PREFIX)
+    ]
+
+
+def fields_of(headers: Iterable[tuple[str, str]]) -> dict[str, list[str]]:
+    """Returns the values of each header by its name in lower case."""
+    fields: dict[str, list[str]] = {}
+    for name, value in headers:
+        fields.setdefault(name.lower(), []).append(value.strip())
+    return fields
+
+
+def answer_fault(
+    status: int,
+    fields: Mapping[str, list[str]],
+    request: requests.CallerRequest,
+    *,
+    reused: bool,
+    limit: int,
+) -> str | None:
+    """Returns why the head of an answer can't be trusted, or None.
+
+    On a connection that carried another answer before, only the id of the
+    request proves whose answer this is.
+    """
+    if status < 200:
+        # A further answer to the same request is still to come.
+        return "informational_answer"
+    echoed = fields.get(REQUEST_ID_FIELD)
+    if echoed != [request.request_id] and (reused or echoed is not None):
+        return "crossed"
+    if request.method == "HEAD" or status in (204, 304):
+        return None
+    lengths = set(fields.get("content-length", ()))
+    codings = fields.get("transfer-encoding")
+    if codings is not None:
+        framed = not lengths and codings[0].lower() == "chunked"
+        return None if framed and len(codings) == 1 else "bad_framing"
+    if not lengths:
+        return "unframed"
+    length = lengths.pop()
+    if lengths or not (length.isascii() and length.isdigit()):
+        return "bad_framing"
+    return "answer_too_large" if int(length) > limit else None
+
+
+def retry_after(fields: Mapping[str, list[str]]) -> float | None:
+    """Returns the seconds of Retry-After, or None."""
+    value = fields.get("retry-after", [""])[0]
+    if value.isascii() and value.isdigit():
+        return float(value)
+    return None
+
+
+class ProbeDocument(pydantic.BaseModel):
+    """JSON of a backend server's health and load endpoints.
+
+    Attributes:
+        state: Whether it takes new work.
+        in_flight: Requests at work.
+        slots: Requests it works on at once.
+    """
+
+    state: models.BackendState = models.BackendState.LIVE
+    in_flight: int | None = pydantic.Field(default=None, ge=0)
+    slots: int | None = pydantic.Field(default=None, ge=0)
+
+
+@dataclasses.dataclass(frozen=True)
+class ProbeResult:
+    """What a backend server's health and load endpoints said.
+
+    Attributes:
+        state: Live or leaving; None when it could not be learnt.
+        in_flight: Requests at work; None when unknown.
+        slots: Requests it works on at once; None when unknown.
+        refused: Nothing listens at the address.
+        code: Stable code of a failure; None when both were read.
+    """
+
+    state: models.BackendState | None
+    in_flight: int | None = None
+    slots: int | None = None
+    refused: bool = False
+    code: str | None = None
+
+
+def probe(address: str, timeout_s: float) -> ProbeResult:
+    """Asks a backend server for its health and load.
+
+    Args:
+        address: "IP:port".
+        timeout_s: Time for both questions, in seconds.
+
+    Returns:
+        What was learnt; failures are part of it.
+    """
+    deadline_s = time.monotonic() + timeout_s
+    try:
+        conn = open_connection(address, deadline_s)
+    except urllib3_exceptions.NewConnectionError as error:
+        refused = isinstance(error.__cause__, ConnectionRefusedError)
+        return ProbeResult(None, refused=refused, code="connect_failed")
+    except (OSError, ValueError, urllib3_exceptions.HTTPError):
+        return ProbeResult(None, code="connect_failed")
+    health = None
+    try:
+        health = ask(conn, "/health", deadline_s)
+        load = ask(conn, "/load", deadline_s)
+    except EXCHANGE_ERRORS:
+        state = health.state if health else None
+        return ProbeResult(state, code="no_load" if health else "no_health")
+    finally:
+        close_connection(conn)
+    return ProbeResult(
+        either_state(health.state, load.state), load.in_flight, load.slots
+    )
+
+
+def ask(conn: BackendConnection, path: str, deadline_s: float) -> ProbeDocument:
+    """Returns the JSON document of an endpoint; raises EXCHANGE_ERRORS."""
+    if conn.sock is None:
+        conn.connect()
+    conn.wire.start(deadline_s)
+    conn.request("GET", path)
+    response = conn.receive()
+    body = response.read(PROBE_BYTES)
+    if response.status != 200 or conn.wire.ended:
+        raise http.client.HTTPException(f"{path}: no whole answer")
+    return ProbeDocument.model_validate_json(body)
+
+
+def either_state(
+    first: models.BackendState, second: models.BackendState
+) -> models.BackendState:
+    """Returns leaving when either state says so."""
+    if models.BackendState.LEAVING in (first, second):
+        return models.BackendState.LEAVING
+    return models.BackendState.LIVE
--- a/src/banyanshed/requests.py
+++ b/src/banyanshed/requests.py
@@ -41,11 +41,13 @@
         status: HTTP status.
         headers: Headers to send on; no hop-by-hop headers.
         body: Whole body.
+        leaving: The backend server said that it is leaving.
     """
 
     status: int
     headers: Mapping[str, str]
     body: bytes
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
