--- /dev/null
+++ b/src/banyanshed/configuration.py
@@ -0,0 +1,432 @@
+"""The configuration in force on one host.
+
+Every row carries the commit number of its last change and is replaced only by
+a newer one, so that no delta, whatever its source or order, reverts anything.
+The version of a configuration is the commit number through which it is
+complete.
+"""
+
+from collections.abc import Iterable, Iterator
+import dataclasses
+import functools
+import ipaddress
+import json
+from typing import Any
+import zlib
+
+import pydantic
+
+from banyanshed import blocks as block_maps
+from banyanshed import exceptions
+from banyanshed import models
+from banyanshed import rows
+
+BLOCK_PREFIX = rows.CONFIG_PREFIX + "block/"
+RECENT_ROWS = 4096
+SNAPSHOT_FORMAT = 1
+SNAPSHOT_COMPRESSION = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigDelta:
+    """All rows changed after one version up to another.
+
+    Attributes:
+        base: Version after which the rows changed.
+        version: Version that the receiver has after applying it.
+        rows: The rows; deleted ones have no value.
+    """
+
+    base: models.ConfigVersion
+    version: models.ConfigVersion
+    rows: tuple[models.TableRow, ...]
+
+
+def delta_from_page(
+    page: models.TablePage, since: models.ConfigVersion
+) -> ConfigDelta:
+    """Makes a delta from a scan of CONFIG_PREFIX since a version."""
+    version = max([int(since), *(row.version for row in page.rows)])
+    return ConfigDelta(since, models.ConfigVersion(version), page.rows)
+
+
+def encode_row(row: rows.AnyRow) -> dict[str, Any]:
+    """Returns the value under which a row lies in the table service."""
+    return row.model_dump(mode="json", exclude_none=True)
+
+
+class Configuration:
+    """All rows of one host, typed and indexed.
+
+    Attributes:
+        version: Commit number through which the rows are complete.
+        raw: Each row as stored, by key, but for valid blocks.
+        rows: Last valid form of each row that is not deleted, by key.
+        findings: Faults of rows as stored, by key.
+        regions: Regions by id.
+        services: Services by id.
+        placements: Placements by service and region.
+        backends: Backend servers by service and id.
+        tenants: Tenants by id.
+        keys: Tenants' keys by digest.
+        links: Links by source and target.
+        drains: Drains by id.
+        blocks: Map of client blocks to sites.
+    """
+
+    def __init__(self) -> None:
+        """Makes an empty configuration of version 0."""
+        self.version = models.ConfigVersion(0)
+        self.raw: dict[str, models.TableRow] = {}
+        self.rows: dict[str, rows.AnyRow] = {}
+        self.findings: dict[str, tuple[exceptions.Finding, ...]] = {}
+        self.recent: dict[str, int] = {}
+        self.recent_since = 0
+        self.regions: dict[models.RegionId, rows.RegionRow] = {}
+        self.services: dict[models.ServiceId, rows.ServiceRow] = {}
+        self.placements: dict[
+            models.ServiceId, dict[models.RegionId, rows.PlacementRow]
+        ] = {}
+        self.backends: dict[
+            models.ServiceId, dict[models.BackendId, rows.BackendRow]
+        ] = {}
+        self.tenants: dict[models.TenantId, rows.TenantRow] = {}
+        self.keys: dict[models.KeyDigest, rows.KeyRow] = {}
+        self.links: dict[
+            models.RegionId, dict[models.RegionId, rows.LinkRow]
+        ] = {}
+        self.drains: dict[str, rows.DrainRow] = {}
+        self.blocks = block_maps.BlockMap()
+
+    def apply(self, delta: ConfigDelta) -> bool:
+        """Takes newer rows of a delta; false when rows before it are missing.
+
+        A delta whose base is above this version is ignored whole.
+        """
+        if delta.base > self.version:
+            return False
+        if len(delta.rows) >= block_maps.BULK_BLOCKS:
+            self._apply_blocks(delta.rows)
+        for row in delta.rows:
+            if row.version > self.row_version(row.key):
+                self._apply_row(row)
+        self.version = max(self.version, delta.version)
+        return True
+
+    def row_version(self, key: str) -> int:
+        """Returns the version of a row as held; 0 when it never was."""
+        raw = self.raw.get(key)
+        if raw is not None:
+            return raw.version
+        block = self.stored_block(key)
+        return 0 if block is None else block.version
+
+    def stored(self, key: str) -> models.TableRow:
+        """Returns a row as held, valid or not."""
+        raw = self.raw.get(key)
+        if raw is not None:
+            return raw
+        block = self.stored_block(key)
+        if block is None:
+            return models.TableRow(key, models.ABSENT_VERSION, None)
+        return _block_table_row(block)
+
+    def delta_since(self, version: models.ConfigVersion) -> ConfigDelta:
+        """Returns all rows changed after a version."""
+        if version >= self.recent_since:
+            changed = [
+                self.stored(key)
+                for key, changed_at in self.recent.items()
+                if changed_at > version
+            ]
+        else:
+            changed = list(self._stored_since(version))
+        return ConfigDelta(version, max(version, self.version), tuple(changed))
+
+    def snapshot(self) -> bytes:
+        """Returns the whole configuration in a compact form."""
+        content = {
+            "format": SNAPSHOT_FORMAT,
+            "version": self.version,
+            "rows": [dataclasses.astuple(row) for row in self.raw.values()],
+            "blocks": self.blocks.pack(),
+        }
+        encoded = json.dumps(content, separators=(",", ":")).encode()
+        return zlib.compress(encoded, SNAPSHOT_COMPRESSION)
+
+    @classmethod
+    def restore(cls, content: bytes) -> "Configuration":
+        """Reads a snapshot.
+
+        Raises:
+            exceptions.InvalidInput: when it is malformed.
+        """
+        try:
+            packed = json.loads(zlib.decompress(content))
+            if packed["format"] != SNAPSHOT_FORMAT:
+                raise ValueError("unknown format")
+            configuration = cls()
+            configuration.blocks = block_maps.BlockMap.unpack(packed["blocks"])
+            for key, version, value in packed["rows"]:
+                configuration._apply_row(models.TableRow(key, version, value))
+            configuration.version = models.ConfigVersion(packed["version"])
+        except (ValueError, KeyError, TypeError, zlib.error):
+            finding = exceptions.Finding(
+                "snapshot", "malformed", "the snapshot can not be read"
+            )
+            raise exceptions.InvalidInput([finding]) from None
+        configuration.recent.clear()
+        configuration.recent_since = configuration.version
+        return configuration
+
+    def drained(
+        self,
+        service: models.ServiceId,
+        region: models.RegionId,
+        store_now_s: float,
+    ) -> bool:
+        """Tells whether a planned drain of a placement is in force.
+
+        Args:
+            service: The service.
+            region: The region.
+            store_now_s: Clock of the table service, in seconds.
+        """
+        for drain in self.drains.values():
+            if drain.service != service or drain.region != region:
+                continue
+            if drain.starts_s <= store_now_s < drain.ends_s:
+                return True
+        return False
+
+    def backend_drained(
+        self,
+        service: models.ServiceId,
+        backend: models.BackendId,
+        store_now_s: float,
+    ) -> bool:
+        """Tells whether a planned drain of a backend server is in force."""
+        for drain in self.drains.values():
+            if drain.service != service or drain.backend != backend:
+                continue
+            if drain.starts_s <= store_now_s < drain.ends_s:
+                return True
+        return False
+
+    def _apply_row(self, row: models.TableRow) -> None:
+        self._note_recent(row)
+        self.findings.pop(row.key, None)
+        if row.value is None:
+            self._delete(row)
+            return
+        try:
+            valid = parse_row(row)
+        except exceptions.InvalidInput as error:
+            self.raw[row.key] = row
+            self.findings[row.key] = error.findings
+            # A key that can't be read may be a withdrawn one.
+            if row.key.startswith(rows.CONFIG_PREFIX + "key/"):
+                self._drop(row.key)
+            return
+        if isinstance(valid, rows.BlockRow):
+            self.raw.pop(row.key, None)
+            self.blocks.put(_network(valid), _site(valid), row.version)
+            return
+        self.raw[row.key] = row
+        self.rows[row.key] = valid
+        index, name = _index(valid, self)
+        index[name] = valid
+
+    def _apply_blocks(self, changed: Iterable[models.TableRow]) -> None:
+        """Takes the valid blocks of a large delta at once."""
+        fresh = []
+        for row in changed:
+            if not row.key.startswith(BLOCK_PREFIX) or row.value is None:
+                continue
+            if row.version <= self.row_version(row.key):
+                continue
+            try:
+                valid = parse_row(row)
+            except exceptions.InvalidInput:
+                continue
+            if not isinstance(valid, rows.BlockRow):
+                continue
+            self._note_recent(row)
+            self.raw.pop(row.key, None)
+            self.findings.pop(row.key, None)
+            fresh.append((_network(valid), _site(valid), row.version))
+        self.blocks.put_all(fresh)
+
+    def _delete(self, row: models.TableRow) -> None:
+        network = _key_network(row.key)
+        if network is not None:
+            self.raw.pop(row.key, None)
+            self.blocks.put(network, None, row.version)
+            return
+        self.raw[row.key] = row
+        self._drop(row.key)
+
+    def _drop(self, key: str) -> None:
+        held = self.rows.pop(key, None)
+        if held is not None:
+            index, name = _index(held, self)
+            del index[name]
+
+    def _note_recent(self, row: models.TableRow) -> None:
+        self.recent.pop(row.key, None)
+        self.recent[row.key] = row.version
+        while len(self.recent) > RECENT_ROWS:
+            oldest = next(iter(self.recent))
+            version = self.recent.pop(oldest)
+            self.recent_since = max(self.recent_since, version)
+
+    def stored_block(self, key: str) -> block_maps.Block | None:
+        """Returns the block of a key, deleted or not; None if there is none."""
+        network = _key_network(key)
+        return None if network is None else self.blocks.get(network)
+
+    def _stored_since(self, version: int) -> Iterator[models.TableRow]:
+        for row in self.raw.values():
+            if row.version > version:
+                yield row
+        for block in self.blocks.blocks_since(version):
+            row = _block_table_row(block)
+            # An invalid row newer than the block stands in `raw`.
+            if row.key not in self.raw:
+                yield row
+
+
+def parse_row(row: models.TableRow) -> rows.AnyRow:
+    """Returns the typed form of a stored row.
+
+    Raises:
+        exceptions.InvalidInput: with one finding for each fault.
+    """
+    try:
+        valid = rows.ROW_ADAPTER.validate_python(row.value)
+    except pydantic.ValidationError as error:
+        raise exceptions.InvalidInput(
+            row_findings(f"row {row.key}", error)
+        ) from None
+    if rows.row_key(valid) == row.key:
+        return valid
+    finding = exceptions.Finding(
+        f"row {row.key}", "wrong_key", "the columns belong to another key"
+    )
+    raise exceptions.InvalidInput([finding])
+
+
+def row_findings(
+    place: str, error: pydantic.ValidationError
+) -> list[exceptions.Finding]:
+    """Returns a finding for each column at fault, without its content."""
+    found = []
+    for detail in error.errors(include_input=False, include_url=False):
+        # The first part of the location is the kind of the row.
+        column = ".".join(str(part) for part in detail["loc"][1:])
+        where = f"{place}, column {column}" if column else place
+        found.append(exceptions.Finding(where, detail["type"], detail["msg"]))
+    return found
+
+
+@functools.singledispatch
+def _index(
+    row: rows.ConfigRow, configuration: Configuration
+) -> tuple[dict[Any, Any], str]:
+    """Returns the index that holds a row, and the row's name in it."""
+    raise TypeError(type(row).__name__)
+
+
+@_index.register
+def _(
+    row: rows.RegionRow, configuration: Configuration
+) -> tuple[dict[Any, Any], str]:
+    index = configuration.regions
+    return index, row.region
+
+
+@_index.register
+def _(
+    row: rows.ServiceRow, configuration: Configuration
+) -> tuple[dict[Any, Any], str]:
+    index = configuration.services
+    return index, row.service
+
+
+@_index.register
+def _(
+    row: rows.PlacementRow, configuration: Configuration
+) -> tuple[dict[Any, Any], str]:
+    index = configuration.placements.setdefault(
+        models.ServiceId(row.service), {}
+    )
+    return index, row.region
+
+
+@_index.register
+def _(
+    row: rows.BackendRow, configuration: Configuration
+) -> tuple[dict[Any, Any], str]:
+    index = configuration.backends.setdefault(models.ServiceId(row.service), {})
+    return index, row.backend
+
+
+@_index.register
+def _(
+    row: rows.TenantRow, configuration: Configuration
+) -> tuple[dict[Any, Any], str]:
+    index = configuration.tenants
+    return index, row.tenant
+
+
+@_index.register
+def _(
+    row: rows.KeyRow, configuration: Configuration
+) -> tuple[dict[Any, Any], str]:
+    index = configuration.keys
+    return index, row.digest
+
+
+@_index.register
+def _(
+    row: rows.LinkRow, configuration: Configuration
+) -> tuple[dict[Any, Any], str]:
+    index = configuration.links.setdefault(models.RegionId(row.source), {})
+    return index, row.target
+
+
+@_index.register
+def _(
+    row: rows.DrainRow, configuration: Configuration
+) -> tuple[dict[Any, Any], str]:
+    index = configuration.drains
+    return index, row.drain
+
+
+def _network(row: rows.BlockRow) -> block_maps.Network:
+    return ipaddress.ip_network(row.cidr)
+
+
+def _site(row: rows.BlockRow) -> block_maps.Site:
+    return block_maps.Site(models.RegionId(row.region), models.ZoneId(row.zone))
+
+
+def _key_network(key: str) -> block_maps.Network | None:
+    if not key.startswith(BLOCK_PREFIX):
+        return None
+    cidr = key.removeprefix(BLOCK_PREFIX).replace("_", "/")
+    try:
+        network = ipaddress.ip_network(cidr)
+    except ValueError:
+        return None
+    return network if str(network) == cidr else None
+
+
+def _block_table_row(block: block_maps.Block) -> models.TableRow:
+    key = BLOCK_PREFIX + block.cidr.replace("/", "_")
+    if block.site is None:
+        return models.TableRow(key, block.version, None)
+    row = rows.BlockRow(
+        cidr=block.cidr, region=block.site.region, zone=block.site.zone
+    )
+    return models.TableRow(key, block.version, encode_row(row))
