Decide membership, gossip and freshness in a core without I/O

Cause: hosts must learn of each other, of new configuration and of its age without the store and without a service for coordination. Ruled out: heartbeats of all hosts in every message (550 entries of about 40 bytes are 22 KB a tick); random peers of the whole fleet each tick (a new connection with its proof for almost each question).

--- /dev/null
+++ b/src/banyanshed/membership.py
@@ -0,0 +1,379 @@
+"""Known entry hosts and their states, merged from gossip and the host list.
+
+A host's entry is ordered by its heartbeat, a counter that only the host itself
+raises. It raises it each time that it answers a question of a peer, so a
+higher heartbeat proves that the host could be reached. A suspicion names the
+heartbeat that it rests on and yields to any higher one. A replacement under
+the same id has another incarnation; it raises its heartbeat above that of the
+entry it replaces as soon as it hears of it.
+"""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import math
+import random
+
+from banyanshed import models
+
+EXPIRY_S = 7200.0
+"""Time without news after which a host that is not listed is forgotten."""
+
+SWEEP_HOSTS = 16
+SILENCE_S = 180.0
+NEVER_HEARD = -1
+MAX_RIVALS = 16
+
+STATE_RANKS = {
+    models.HostState.LIVE: 0,
+    models.HostState.LEAVING: 1,
+    models.HostState.SUSPECTED: 2,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class MemberEntry:
+    """What one host says of a host.
+
+    Attributes:
+        host: Host that the entry is about.
+        incarnation: Random 64-bit id of the process.
+        heartbeat: Counter of that process.
+        state: State that the entry claims.
+        profile: Region, zone and addresses; None when left out.
+    """
+
+    host: models.HostId
+    incarnation: int
+    heartbeat: int
+    state: models.HostState
+    profile: models.ListedHost | None = None
+
+
+@dataclasses.dataclass
+class Member:
+    """What this host knows of a host.
+
+    Attributes:
+        profile: Region, zone and addresses.
+        incarnation: Random id of the process; 0 when never heard.
+        heartbeat: Highest heartbeat known; NEVER_HEARD at first.
+        state: State by gossip.
+        heard_at_s: When the heartbeat last rose.
+        listed: The platform's list names the host.
+        listed_leaving: The platform's list says that the host is leaving.
+    """
+
+    profile: models.ListedHost
+    incarnation: int = 0
+    heartbeat: int = NEVER_HEARD
+    state: models.HostState = models.HostState.LIVE
+    heard_at_s: float = -math.inf
+    listed: bool = False
+    listed_leaving: bool = False
+
+    def effective_state(self) -> models.HostState:
+        """Returns the state after any sign of leaving."""
+        if self.listed_leaving and self.state is models.HostState.LIVE:
+            return models.HostState.LEAVING
+        return self.state
+
+    def entry(self, *, with_profile: bool = False) -> MemberEntry:
+        """Returns the entry to tell peers."""
+        return MemberEntry(
+            host=self.profile.host,
+            incarnation=self.incarnation,
+            heartbeat=self.heartbeat,
+            state=self.state,
+            profile=self.profile if with_profile else None,
+        )
+
+
+def supersedes(entry: MemberEntry, member: Member) -> bool:
+    """Returns whether an entry is newer than what is known."""
+    new = (entry.heartbeat, STATE_RANKS[entry.state], entry.incarnation)
+    old = (member.heartbeat, STATE_RANKS[member.state], member.incarnation)
+    return new > old
+
+
+class Membership:
+    """All known hosts, this one included.
+
+    Attributes:
+        own: This host's own member.
+        members: All known hosts by id.
+        rivals: Foreign incarnations seen under this host's id, with how often
+            each outran this host; more than once means that two processes
+            run under one id.
+        wanted: Hosts heard of without a profile.
+    """
+
+    def __init__(
+        self,
+        profile: models.ListedHost,
+        incarnation: int,
+        rng: random.Random,
+        now_s: float = 0.0,
+    ):
+        """Starts with this host alone.
+
+        Args:
+            profile: This host's region, zone and addresses.
+            incarnation: Random 64-bit id of this process, above 0.
+            rng: Source of random numbers.
+            now_s: Monotonic time in seconds.
+        """
+        self.rng = rng
+        self.own = Member(
+            profile, incarnation=incarnation, heartbeat=0, heard_at_s=now_s
+        )
+        self.members: dict[models.HostId, Member] = {}
+        self.rivals: dict[int, int] = {}
+        self.wanted: dict[models.HostId, None] = {}
+        self.region_sizes: collections.Counter[models.RegionId] = (
+            collections.Counter()
+        )
+        self._order: list[models.HostId] = []
+        self._places: dict[models.HostId, int] = {}
+        self._news: collections.deque[models.HostId] = collections.deque()
+        self._news_left: dict[models.HostId, int] = {}
+        self._sweep_place = 0
+        self._fill_place = 0
+        self._outrun_heartbeat = NEVER_HEARD
+        self._add(self.own)
+        self._spread(profile.host)
+
+    def states(self) -> dict[models.HostId, models.HostState]:
+        """Returns the state of every known host, this one included."""
+        return {
+            host: member.effective_state()
+            for host, member in self.members.items()
+        }
+
+    def state(self, host: models.HostId) -> models.HostState | None:
+        """Returns the state of a host; None when it is unknown."""
+        member = self.members.get(host)
+        return member.effective_state() if member else None
+
+    def live_hosts(self) -> tuple[models.ListedHost, ...]:
+        """Returns the hosts that look-ups may name, in the order of ids."""
+        return tuple(
+            self.members[host].profile
+            for host in sorted(self.members)
+            if self.state(host) is models.HostState.LIVE
+        )
+
+    def answer(self, now_s: float) -> None:
+        """Raises the heartbeat because a peer's question arrived."""
+        if self._outrun_heartbeat >= self.own.heartbeat:
+            self.own.heartbeat = self._outrun_heartbeat
+            self._spread(self.own.profile.host)
+        self.own.heartbeat += 1
+        self.own.heard_at_s = now_s
+
+    def leave(self, now_s: float) -> None:
+        """Says that this host is leaving."""
+        self.own.state = models.HostState.LEAVING
+        self.answer(now_s)
+        self._spread(self.own.profile.host)
+
+    def merge(self, now_s: float, entry: MemberEntry) -> bool:
+        """Takes in an entry; returns whether it told anything new."""
+        if entry.host == self.own.profile.host:
+            return self._merge_own(now_s, entry)
+        member = self.members.get(entry.host)
+        if member is None:
+            return self._merge_unknown(now_s, entry)
+        if not supersedes(entry, member):
+            return False
+        replaced = entry.incarnation != member.incarnation
+        if replaced and member.incarnation and entry.profile is None:
+            self._want(entry.host)
+            return False
+        changed = replaced or entry.state is not member.state
+        if entry.heartbeat > member.heartbeat:
+            member.heard_at_s = now_s
+        if entry.profile is not None:
+            self._set_profile(member, entry.profile)
+        member.incarnation = entry.incarnation
+        member.heartbeat = entry.heartbeat
+        member.state = entry.state
+        if changed:
+            self._spread(entry.host)
+        return True
+
+    def suspect(self, host: models.HostId, heartbeat: int) -> bool:
+        """Suspects a host unless there was news of it since `heartbeat`."""
+        member = self.members.get(host)
+        if member is None or member.heartbeat != heartbeat:
+            return False
+        if member.state is models.HostState.SUSPECTED:
+            return False
+        member.state = models.HostState.SUSPECTED
+        if heartbeat > NEVER_HEARD:
+            self._spread(host)
+        return True
+
+    def update_list(self, hosts: Iterable[models.ListedHost]) -> None:
+        """Takes in the platform's list, which lags."""
+        unlisted = set(self.members)
+        for profile in hosts:
+            unlisted.discard(profile.host)
+            member = self.members.get(profile.host)
+            if member is None:
+                member = Member(profile)
+                self._add(member)
+            if member.heartbeat == NEVER_HEARD:
+                self._set_profile(member, profile)
+            member.listed = True
+            member.listed_leaving = profile.state is models.HostState.LEAVING
+        for host in unlisted:
+            self.members[host].listed = False
+            self.members[host].listed_leaving = False
+
+    def sweep(self, now_s: float) -> list[models.HostId]:
+        """Forgets expired hosts; returns silent ones that want a question.
+
+        Looks at a bounded number of hosts a call, in rotation.
+        """
+        silent = []
+        for _ in range(min(SWEEP_HOSTS, len(self._order))):
+            self._sweep_place = (self._sweep_place + 1) % len(self._order)
+            host = self._order[self._sweep_place]
+            member = self.members[host]
+            if member is self.own:
+                continue
+            age_s = now_s - member.heard_at_s
+            if not member.listed and age_s > EXPIRY_S:
+                self._remove(host)
+                continue
+            if member.state is models.HostState.LIVE and age_s > SILENCE_S:
+                silent.append(host)
+        return silent
+
+    def random_member(self) -> Member:
+        """Returns any known host, this one included, in constant time."""
+        return self.members[self.rng.choice(self._order)]
+
+    def select_entries(
+        self, max_entries: int, *, with_profiles: bool = False
+    ) -> list[MemberEntry]:
+        """Returns entries to send: changed ones first, then in rotation.
+
+        Changes lead, the newest and least-sent of them first, and carry their
+        profile. The rest of the room goes to other hosts in turn.
+        """
+        chosen: dict[models.HostId, MemberEntry] = {}
+        for host in self._take_news(max_entries):
+            chosen[host] = self.members[host].entry(with_profile=True)
+        for _ in range(min(max_entries - len(chosen), len(self._order))):
+            self._fill_place = (self._fill_place + 1) % len(self._order)
+            member = self.members[self._order[self._fill_place]]
+            host = member.profile.host
+            if member is self.own or host in chosen:
+                continue
+            if member.heartbeat == NEVER_HEARD:
+                continue
+            chosen[host] = member.entry(with_profile=with_profiles)
+        return list(chosen.values())
+
+    def tell_profile(self, host: models.HostId) -> None:
+        """Puts a host among the changes, since a peer lacks its profile."""
+        member = self.members.get(host)
+        if member is None or member.heartbeat == NEVER_HEARD:
+            return
+        if host not in self._news_left:
+            self._news_left[host] = 1
+            self._news.appendleft(host)
+
+    def take_wanted(self, max_hosts: int) -> tuple[models.HostId, ...]:
+        """Returns hosts to ask the profiles of, each once until heard again."""
+        taken = tuple(self.wanted)[:max_hosts]
+        for host in taken:
+            del self.wanted[host]
+        return taken
+
+    def _take_news(self, max_entries: int) -> list[models.HostId]:
+        taken: list[models.HostId] = []
+        for _ in range(min(max_entries, len(self._news))):
+            taken.append(self._news.popleft())
+        for host in taken:
+            self._news_left[host] -= 1
+            if self._news_left[host] > 0:
+                self._news.append(host)
+                continue
+            del self._news_left[host]
+        return [host for host in taken if host in self.members]
+
+    def _merge_own(self, now_s: float, entry: MemberEntry) -> bool:
+        if entry.incarnation != self.own.incarnation:
+            return self._merge_rival(now_s, entry)
+        if entry.state is not models.HostState.SUSPECTED:
+            return False
+        # Outrun only once a peer's question shows that this host is reachable.
+        self._outrun_heartbeat = max(self._outrun_heartbeat, entry.heartbeat)
+        self._spread(self.own.profile.host)
+        return True
+
+    def _merge_rival(self, now_s: float, entry: MemberEntry) -> bool:
+        if entry.heartbeat < self.own.heartbeat:
+            return False
+        if len(self.rivals) < MAX_RIVALS or entry.incarnation in self.rivals:
+            times = self.rivals.get(entry.incarnation, 0)
+            self.rivals[entry.incarnation] = times + 1
+        self._outrun_heartbeat = max(self._outrun_heartbeat, entry.heartbeat)
+        self.answer(now_s)
+        return True
+
+    def _merge_unknown(self, now_s: float, entry: MemberEntry) -> bool:
+        if entry.state is models.HostState.SUSPECTED:
+            return False
+        if entry.profile is None:
+            self._want(entry.host)
+            return False
+        self._add(
+            Member(
+                entry.profile,
+                incarnation=entry.incarnation,
+                heartbeat=entry.heartbeat,
+                state=entry.state,
+                heard_at_s=now_s,
+            )
+        )
+        self._spread(entry.host)
+        return True
+
+    def _want(self, host: models.HostId) -> None:
+        if len(self.wanted) < SWEEP_HOSTS:
+            self.wanted[host] = None
+
+    def _set_profile(self, member: Member, profile: models.ListedHost) -> None:
+        self.region_sizes[member.profile.region] -= 1
+        self.region_sizes[profile.region] += 1
+        member.profile = profile
+        self.wanted.pop(profile.host, None)
+
+    def _add(self, member: Member) -> None:
+        host = member.profile.host
+        self.members[host] = member
+        self._places[host] = len(self._order)
+        self._order.append(host)
+        self.region_sizes[member.profile.region] += 1
+        self.wanted.pop(host, None)
+
+    def _remove(self, host: models.HostId) -> None:
+        member = self.members.pop(host)
+        self.region_sizes[member.profile.region] -= 1
+        place = self._places.pop(host)
+        last = self._order.pop()
+        if last != host:
+            self._order[place] = last
+            self._places[last] = place
+        self._sweep_place = 0
+        self._fill_place = 0
+
+    def _spread(self, host: models.HostId) -> None:
+        if host not in self._news_left:
+            self._news.appendleft(host)
+        sends = 3 * math.ceil(math.log2(len(self.members) + 1))
+        self._news_left[host] = sends
