Connect daemons by pycapnp behind a proof of the fleet secret

Cause: peers exchange gossip, rows and witness heartbeats; nothing may count before the fleet secret is proved. Change: a Gate capability yields the Peer only after an HMAC-SHA256 challenge both ways; messages, connections, calls and times are bounded; faults close the connection with a code in the log.

--- /dev/null
+++ b/src/banyanshed/codec.py
@@ -0,0 +1,134 @@
+"""Writes and reads the messages of peer.capnp.
+
+Readers check what the schema cannot state and raise PeerMalformed.
+"""
+
+import importlib.resources
+import math
+from typing import Any
+
+import capnp
+
+from banyanshed import exceptions
+from banyanshed import freshness
+from banyanshed import gossip
+from banyanshed import membership
+from banyanshed import models
+
+MAX_NAME_BYTES = 128
+MAX_LIST_ITEMS = 128
+
+
+def load_schema() -> Any:
+    """Returns the schema, loaded from the file in this package."""
+    source = importlib.resources.files("banyanshed").joinpath("peer.capnp")
+    with importlib.resources.as_file(source) as path:
+        return capnp.load(str(path))
+
+
+SCHEMA = load_schema()
+
+
+def write_message(builder: Any, message: gossip.GossipMessage) -> None:
+    """Fills a GossipMessage of the schema."""
+    _write_entry(builder.init("sender"), message.sender)
+    builder.version = message.version
+    builder.knownHosts = message.known_hosts
+    builder.confirmedAgeS = message.confirmed_age_s
+    words = builder.init("words", len(message.words))
+    for place, word in enumerate(message.words):
+        words[place].host = word.host
+        words[place].ageS = word.age_s
+    entries = builder.init("entries", len(message.entries))
+    for place, entry in enumerate(message.entries):
+        _write_entry(entries[place], entry)
+    builder.wants = list(message.wants)
+    builder.probes = list(message.probes)
+
+
+def read_message(reader: Any) -> gossip.GossipMessage:
+    """Returns a GossipMessage of the schema as a data object."""
+    try:
+        return gossip.GossipMessage(
+            sender=_read_entry(reader.sender),
+            version=reader.version,
+            known_hosts=reader.knownHosts,
+            confirmed_age_s=_read_age(reader.confirmedAgeS),
+            words=tuple(
+                freshness.Word(_read_host(word.host), _read_age(word.ageS))
+                for word in _read_list(reader.words)
+            ),
+            entries=tuple(
+                _read_entry(entry) for entry in _read_list(reader.entries)
+            ),
+            wants=tuple(_read_host(host) for host in _read_list(reader.wants)),
+            probes=tuple(
+                _read_host(host) for host in _read_list(reader.probes)
+            ),
+        )
+    except (capnp.KjException, ValueError) as error:
+        raise exceptions.PeerMalformed(str(error)) from error
+
+
+def encoded_bytes(message: gossip.GossipMessage) -> int:
+    """Returns the size of a message without the transport's envelope."""
+    builder = SCHEMA.GossipMessage.new_message()
+    write_message(builder, message)
+    return len(builder.to_bytes())
+
+
+def _write_entry(builder: Any, entry: membership.MemberEntry) -> None:
+    builder.host = entry.host
+    builder.incarnation = entry.incarnation
+    builder.heartbeat = entry.heartbeat
+    builder.state = entry.state.value
+    if entry.profile is None:
+        return
+    profile = builder.init("profile")
+    profile.region = entry.profile.region
+    profile.zone = entry.profile.zone
+    profile.callerAddress = entry.profile.caller_address
+    profile.peerAddress = entry.profile.peer_address
+
+
+def _read_entry(reader: Any) -> membership.MemberEntry:
+    host = _read_host(reader.host)
+    profile = None
+    if reader._has("profile"):
+        profile = models.ListedHost(
+            host=host,
+            region=models.RegionId(_read_name(reader.profile.region)),
+            zone=models.ZoneId(_read_name(reader.profile.zone)),
+            caller_address=_read_name(reader.profile.callerAddress),
+            peer_address=_read_name(reader.profile.peerAddress),
+            state=models.HostState.LIVE,
+        )
+    return membership.MemberEntry(
+        host=host,
+        incarnation=reader.incarnation,
+        heartbeat=reader.heartbeat,
+        state=models.HostState(str(reader.state)),
+        profile=profile,
+    )
+
+
+def _read_host(text: str) -> models.HostId:
+    return models.HostId(_read_name(text))
+
+
+def _read_name(text: str) -> str:
+    if not 0 < len(text) <= MAX_NAME_BYTES:
+        raise exceptions.PeerMalformed(f"name of {len(text)} characters")
+    return text
+
+
+def _read_age(age_s: float) -> float:
+    if math.isnan(age_s) or age_s < 0:
+        raise exceptions.PeerMalformed(f"age of {age_s} s")
+    return age_s
+
+
+def _read_list(items: Any) -> Any:
+    if len(items) > MAX_LIST_ITEMS:
+        raise exceptions.PeerMalformed(f"list of {len(items)} items")
+    return items
--- a/src/banyanshed/exceptions.py
+++ b/src/banyanshed/exceptions.py
@@ -119,3 +119,39 @@
         self.code = code
         self.ran = ran
         self.retry_after_s = retry_after_s
+
+
+class PeerUnreachable(PeerError):
+    """No connection could be made, or it broke."""
+
+    code = "peer_unreachable"
+
+
+class PeerBackoff(PeerError):
+    """An earlier connection failed and its delay has not passed."""
+
+    code = "peer_backoff"
+
+
+class PeerTimeout(PeerError):
+    """A peer did not answer in time."""
+
+    code = "peer_timeout"
+
+
+class PeerVersionMismatch(PeerError):
+    """A peer speaks another version of the protocol."""
+
+    code = "peer_version"
+
+
+class PeerNotProved(PeerError):
+    """A peer did not prove that it knows the fleet secret."""
+
+    code = "peer_not_proved"
+
+
+class PeerMalformed(PeerError):
+    """A peer's message breaks the protocol."""
+
+    code = "peer_malformed"
--- /dev/null
+++ b/src/banyanshed/peer.capnp
@@ -0,0 +1,79 @@
+# The protocol between entry hosts. A connection's bootstrap capability is a
+# Gate; only a proof of the fleet secret yields the Peer behind it.
+@0xc5c2a0f0d6a14b7e;
+
+interface Gate {
+  # Tells the client's nonce; the reply proves that the server knows the secret.
+  # `error` is the code of a refusal, or empty.
+  hello @0 (protocol :UInt32, host :Text, nonce :Data)
+      -> (error :Text, protocol :UInt32, host :Text, nonce :Data, proof :Data);
+
+  # Proves that the client knows the secret, once per connection.
+  authenticate @1 (proof :Data) -> (error :Text, peer :Peer);
+}
+
+interface Peer {
+  gossip @0 (message :GossipMessage) -> (reply :GossipMessage);
+
+  # One chunk of the rows changed after version `since`. The first call names
+  # version 0; later ones name the version that the first reply told.
+  fetchDelta @1 (since :UInt64, version :UInt64, offset :UInt64)
+      -> (version :UInt64, size :UInt64, chunk :Data);
+
+  witness @2 (beat :WitnessBeat) -> (reply :WitnessReply);
+}
+
+struct WitnessBeat {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  epoch @2 :UInt64;
+}
+
+struct WitnessReply {
+  acked @0 :Bool;
+  incarnation @1 :UInt64;
+}
+
+enum HostState {
+  live @0;
+  leaving @1;
+  suspected @2;
+}
+
+struct Profile {
+  region @0 :Text;
+  zone @1 :Text;
+  callerAddress @2 :Text;
+  peerAddress @3 :Text;
+}
+
+struct MemberEntry {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  heartbeat @2 :UInt64;
+  state @3 :HostState;
+  profile @4 :Profile;  # Null when left out.
+}
+
+struct Word {
+  host @0 :Text;
+  ageS @1 :Float64;
+}
+
+struct BackendLoad {
+  backend @0 :Text;
+  load @1 :Float64;
+  ageS @2 :Float64;
+}
+
+struct GossipMessage {
+  sender @0 :MemberEntry;
+  version @1 :UInt64;
+  knownHosts @2 :UInt32;
+  confirmedAgeS @3 :Float64 = inf;
+  words @4 :List(Word);
+  entries @5 :List(MemberEntry);
+  wants @6 :List(Text);
+  probes @7 :List(Text);
+  loads @8 :List(BackendLoad);
+}
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,345 @@
+"""The transport between entry hosts, on loopback addresses in one process."""
+
+import asyncio
+import contextlib
+import dataclasses
+import math
+import random
+
+import capnp
+import eliot
+import pytest
+
+from banyanshed import codec
+from banyanshed import exceptions
+from banyanshed import freshness
+from banyanshed import gossip
+from banyanshed import membership
+from banyanshed import models
+from banyanshed import peers
+
+SECRET = b"0123456789abcdef0123456789abcdef"
+PROFILE = models.ListedHost(
+    host="h0",
+    region="sask",
+    zone="sask-a",
+    caller_address="127.0.0.1:1",
+    peer_address="127.0.0.1:2",
+    state=models.HostState.LIVE,
+)
+ENTRY = membership.MemberEntry("h0", 2**64 - 1, 7, models.HostState.LEAVING)
+MESSAGE = gossip.GossipMessage(
+    sender=dataclasses.replace(ENTRY, profile=PROFILE),
+    version=3,
+    known_hosts=2,
+    confirmed_age_s=1.5,
+    words=(freshness.Word("h1", 0.25),),
+    entries=(dataclasses.replace(ENTRY, host="h9"),),
+    wants=("h2",),
+    probes=("h3",),
+)
+LIMITS = peers.PeerLimits(handshake_timeout_s=0.2, call_timeout_s=0.3)
+WHOLE_DELTA = bytes(range(256)) * 1000
+
+
+class Handler:
+    """Echoes questions and counts what it was told."""
+
+    def __init__(self):
+        self.asked = 0
+
+    def on_gossip(self, message):
+        self.asked += 1
+        return message
+
+    def delta_since(self, version):
+        return peers.Delta(version + 1, WHOLE_DELTA)
+
+    def on_witness_beat(self, beat):
+        return peers.WitnessReply(beat.epoch == 2, 2**64 - 1)
+
+
+@dataclasses.dataclass
+class Bench:
+    server: peers.PeerServer
+    handler: Handler
+    address: str
+    logged: list
+
+    def codes(self):
+        return [line["code"] for line in self.logged if "code" in line]
+
+    async def wait_for_code(self):
+        while not self.codes():
+            await asyncio.sleep(0.005)
+        return self.codes()[0]
+
+
+@contextlib.asynccontextmanager
+async def open_bench(limits=LIMITS):
+    async with contextlib.AsyncExitStack() as stack:
+        logged = []
+        eliot.add_destinations(logged.append)
+        stack.callback(eliot.remove_destination, logged.append)
+        await stack.enter_async_context(capnp.kj_loop())
+        handler = Handler()
+        server = peers.PeerServer("h0", SECRET, handler, limits)
+        await stack.enter_async_context(server)
+        address = await server.start("127.0.0.1:0")
+        yield Bench(server, handler, address, logged)
+
+
+def make_client(secret=SECRET, limits=LIMITS):
+    return peers.PeerClient("h1", secret, random.Random(1), limits)
+
+
+def run(scenario):
+    asyncio.run(scenario())
+
+
+def test_calls_travel_whole_over_one_connection():
+    async def scenario():
+        async with open_bench() as bench, make_client() as client:
+            calls = [client.gossip(bench.address, MESSAGE) for _ in range(9)]
+            assert await asyncio.gather(*calls) == [MESSAGE] * 9
+            for epoch in (1, 2):
+                beat = peers.WitnessBeat("h1", 5, epoch)
+                reply = await client.witness(bench.address, beat)
+                assert reply == peers.WitnessReply(epoch == 2, 2**64 - 1)
+            delta = await client.fetch_delta(bench.address, 4)
+            assert delta == peers.Delta(5, WHOLE_DELTA)
+            assert len(bench.server.connections) == 1
+
+    run(scenario)
+
+
+def test_wrong_secret_is_refused_on_either_side():
+    async def scenario():
+        async with open_bench() as bench:
+            async with make_client(b"x" * 32) as client:
+                with pytest.raises(exceptions.PeerNotProved):
+                    await client.gossip(bench.address, MESSAGE)
+            # A client that skips the check of the server gets no further.
+            host, port = peers.split_address(bench.address)
+            stream = await capnp.AsyncIoStream.create_connection(host, port)
+            rpc = capnp.TwoPartyClient(stream)
+            gate = rpc.bootstrap().cast_as(codec.SCHEMA.Gate)
+            hello = await gate.hello(peers.PROTOCOL_VERSION, "h1", b"n" * 32)
+            parts = (b"n" * 32, bytes(hello.nonce), b"h1", b"h0")
+            # Neither another secret nor the server's own proof sent back.
+            proofs = [peers.prove(b"x" * 32, "client", *parts), hello.proof]
+            for proof in proofs:
+                answer = await gate.authenticate(proof)
+                assert answer.error == "peer_not_proved"
+                with pytest.raises(capnp.KjException):
+                    await answer.peer.gossip()
+            assert bench.handler.asked == 0
+            assert "peer_not_proved" in bench.codes()
+            rpc.close()
+
+    run(scenario)
+
+
+def test_other_protocol_version_is_named(monkeypatch):
+    async def scenario():
+        async with open_bench() as bench, make_client() as client:
+            host, port = peers.split_address(bench.address)
+            stream = await capnp.AsyncIoStream.create_connection(host, port)
+            rpc = capnp.TwoPartyClient(stream)
+            gate = rpc.bootstrap().cast_as(codec.SCHEMA.Gate)
+            hello = await gate.hello(2, "h1", b"n" * 32)
+            assert (hello.error, hello.protocol) == ("peer_version", 1)
+            assert bench.codes() == ["peer_version"]
+            rpc.close()
+            # The client's side of it.
+            monkeypatch.setattr(peers, "PROTOCOL_VERSION", 2)
+            call = client.gossip(bench.address, MESSAGE)
+            monkeypatch.setattr(peers.GateService, "hello", answer_as_version_1)
+            with pytest.raises(exceptions.PeerVersionMismatch):
+                await call
+
+    async def answer_as_version_1(self, _context, **_):
+        _context.results.protocol = 1
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", "peer_foreign"),
+        (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", "peer_foreign"),
+        (b"\0\0\0\0\xff\xff\xff\x7f", "peer_foreign"),
+        (b"\0\0\0", "peer_handshake_timeout"),
+        (b"", "peer_handshake_timeout"),
+        (b"\0\0\0\0\x10\0\0\0half", "peer_handshake_timeout"),
+    ],
+)
+def test_foreign_and_half_sent_bytes_close_with_a_code(data, code):
+    async def scenario():
+        async with open_bench() as bench, make_client() as client:
+            host, port = peers.split_address(bench.address)
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(data)
+            assert await bench.wait_for_code() == code
+            await reader.read()
+            writer.close()
+            assert await client.gossip(bench.address, MESSAGE) == MESSAGE
+
+    run(scenario)
+
+
+def test_oversize_message_of_a_proved_peer_closes_the_connection():
+    async def scenario():
+        big = dataclasses.replace(
+            MESSAGE, wants=("x" * peers.MAX_MESSAGE_BYTES,)
+        )
+        async with open_bench() as bench, make_client() as client:
+            await client.gossip(bench.address, MESSAGE)
+            with pytest.raises(exceptions.PeerError):
+                await client.gossip(bench.address, big)
+            assert await bench.wait_for_code() == "peer_gone"
+            assert bench.handler.asked == 1
+            assert await client.gossip(bench.address, MESSAGE) == MESSAGE
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"confirmed_age_s": -1.0},
+        {"confirmed_age_s": math.nan},
+        {"words": (freshness.Word("h1", -0.5),)},
+        {"wants": ("",)},
+        {"probes": ("h",) * 200},
+        {"entries": (dataclasses.replace(ENTRY, host="x" * 200),)},
+    ],
+)
+def test_malformed_message_is_refused_and_closes(change):
+    async def scenario():
+        bad = dataclasses.replace(MESSAGE, **change)
+        async with open_bench() as bench, make_client() as client:
+            with pytest.raises(exceptions.PeerError):
+                await client.gossip(bench.address, bad)
+            assert bench.codes() == ["peer_malformed"]
+            assert bench.handler.asked == 0
+
+    run(scenario)
+
+
+def test_silent_peer_times_out_then_backs_off_and_is_bounded():
+    async def scenario():
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(capnp.kj_loop())
+            accepted = []
+
+            async def swallow(reader, writer):
+                accepted.append(writer)
+                await reader.read()
+                writer.close()
+
+            silent = await asyncio.start_server(swallow, "127.0.0.1", 0)
+            stack.callback(silent.close)
+            port = silent.sockets[0].getsockname()[1]
+            limits = dataclasses.replace(
+                LIMITS, connect_timeout_s=0.1, max_opened=2
+            )
+            client = make_client(limits=limits)
+            await stack.enter_async_context(client)
+            address = f"127.0.0.1:{port}"
+            with pytest.raises(exceptions.PeerTimeout):
+                await client.gossip(address, MESSAGE)
+            with pytest.raises(exceptions.PeerBackoff):
+                await client.gossip(address, MESSAGE)
+            assert len(accepted) == 1
+            for place in range(5):
+                with pytest.raises(exceptions.PeerUnreachable):
+                    await client.gossip(f"127.0.0.1:{place + 1}", MESSAGE)
+            assert len(client.opened) == 2
+
+    run(scenario)
+
+
+def test_slow_handler_answer_times_out_and_the_next_call_is_its_own():
+    async def scenario():
+        async with open_bench() as bench, make_client() as client:
+            original = peers.PeerService.gossip
+
+            async def late(self, message, _context, **kwargs):
+                await asyncio.sleep(0.4)
+                await original(self, message, _context=_context)
+
+            other = dataclasses.replace(MESSAGE, version=9)
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(peers.PeerService, "gossip", late)
+                with pytest.raises(exceptions.PeerTimeout):
+                    await client.gossip(bench.address, MESSAGE)
+            assert await client.gossip(bench.address, other) == other
+
+    run(scenario)
+
+
+def test_served_connections_are_bounded_and_unproved_ones_go_first():
+    async def scenario():
+        limits = dataclasses.replace(
+            LIMITS, max_served=3, handshake_timeout_s=9
+        )
+        async with open_bench(limits) as bench, make_client() as client:
+            await client.gossip(bench.address, MESSAGE)
+            host, port = peers.split_address(bench.address)
+            writers = []
+            for _ in range(6):
+                _, writer = await asyncio.open_connection(host, port)
+                writers.append(writer)
+            while bench.codes().count("peer_connections_full") < 4:
+                await asyncio.sleep(0.005)
+            await client.gossip(bench.address, MESSAGE)
+            while len(bench.server.connections) > 3:
+                await asyncio.sleep(0.005)
+            assert set(bench.codes()) == {"peer_connections_full"}
+            for writer in writers:
+                writer.close()
+
+    run(scenario)
+
+
+def test_errors_of_the_handler_tell_the_peer_nothing():
+    async def scenario():
+        async with open_bench() as bench, make_client() as client:
+            bench.handler.on_gossip = lambda message: 1 / 0
+            with pytest.raises(exceptions.PeerUnreachable) as caught:
+                await client.gossip(bench.address, MESSAGE)
+            assert "zero" not in str(caught.value)
+            assert any("exception" in line for line in bench.logged)
+
+    run(scenario)
+
+
+def test_secret_never_crosses_the_wire():
+    async def scenario():
+        async with open_bench() as bench, make_client() as client:
+            seen = bytearray()
+
+            async def relay(reader, writer):
+                host, port = peers.split_address(bench.address)
+                up_reader, up_writer = await asyncio.open_connection(host, port)
+
+                async def pump(source, sink):
+                    while data := await source.read(4096):
+                        seen.extend(data)
+                        sink.write(data)
+                    sink.close()
+
+                await asyncio.gather(
+                    pump(reader, up_writer), pump(up_reader, writer)
+                )
+
+            middle = await asyncio.start_server(relay, "127.0.0.1", 0)
+            port = middle.sockets[0].getsockname()[1]
+            assert await client.gossip(f"127.0.0.1:{port}", MESSAGE) == MESSAGE
+            assert b"sask-a" in seen
+            assert SECRET not in seen
+            middle.close()
+
+    run(scenario)
