Run the gossip of a daemon over the transport

Change: Peering ticks the core, sends its questions, fetches rows from a peer that is ahead and tells a new version to several peers at once.

--- /dev/null
+++ b/src/banyanshed/peering.py
@@ -0,0 +1,195 @@
+"""Runs the gossip of one daemon: ticks, sends, and fetches the configuration.
+
+All methods run on the daemon's loop. The core in `gossip` decides; this module
+carries its questions over `peers` and tells it what came of them.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+import contextlib
+from typing import Any, Protocol
+
+import eliot
+
+from banyanshed import exceptions
+from banyanshed import gossip
+from banyanshed import peers
+
+MAX_TASKS = 64
+
+
+class Replica(Protocol):
+    """The configuration in force here, as peers exchange it."""
+
+    def version(self) -> int:
+        """Returns the version in force."""
+
+    def encode_delta(self, version: int) -> peers.Delta:
+        """Returns the rows changed after a version, encoded."""
+
+    def apply_delta(self, delta: peers.Delta) -> None:
+        """Applies a peer's rows; older ones change nothing.
+
+        Raises:
+            BanyanshedError: The rows are malformed; nothing was applied.
+        """
+
+
+class Witness(Protocol):
+    """Answers the heartbeats of holders that named this host."""
+
+    def on_witness_beat(self, beat: peers.WitnessBeat) -> peers.WitnessReply:
+        """Returns the answer to a holder's heartbeat."""
+
+
+class Peering:
+    """One daemon's part in the gossip; the handler of its PeerServer.
+
+    Attributes:
+        core: Decides what to send.
+        client: Sends it.
+        replica: The configuration in force here.
+        failures: Questions without reply, by the code of the error.
+    """
+
+    def __init__(
+        self,
+        core: gossip.Gossip,
+        client: peers.PeerClient,
+        replica: Replica,
+        witness: Witness,
+        clock: Callable[[], float],
+    ):
+        """Takes the parts that it connects.
+
+        Args:
+            core: Decides what to send.
+            client: Sends it.
+            replica: The configuration in force here.
+            witness: Answers holders' heartbeats.
+            clock: Returns monotonic seconds, as given to the core.
+        """
+        self.core = core
+        self.client = client
+        self.replica = replica
+        self.witness = witness
+        self.clock = clock
+        self.failures: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> "Peering":
+        """Starts the ticks."""
+        ticks = asyncio.create_task(self._run())
+        self._stack.push_async_callback(self._cancel_tasks)
+        self._stack.callback(ticks.cancel)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops the ticks and what is under way."""
+        await self._stack.aclose()
+
+    def on_gossip(self, message: gossip.GossipMessage) -> gossip.GossipMessage:
+        """Returns the reply to a peer's question."""
+        reply = self.core.on_gossip(self.clock(), message)
+        self._fetch_if_behind()
+        return reply
+
+    def delta_since(self, version: int) -> peers.Delta:
+        """Returns what changed after a version."""
+        return self.replica.encode_delta(version)
+
+    def on_witness_beat(self, beat: peers.WitnessBeat) -> peers.WitnessReply:
+        """Returns the answer to a holder's heartbeat."""
+        return self.witness.on_witness_beat(beat)
+
+    def on_version(self) -> None:
+        """Tells peers at once that the version in force here has changed."""
+        questions = self.core.on_version(self.clock(), self.replica.version())
+        self._send_all(questions)
+
+    def on_store_read(self, sent_s: float, version: int) -> None:
+        """Takes in a read of the store whose rows were applied."""
+        self.on_version()
+        self.core.freshness.on_store_read(sent_s, version)
+
+    async def leave(self) -> None:
+        """Says that this host is leaving, to several peers at once."""
+        self.core.members.leave(self.clock())
+        questions = self.core.announce(self.clock())
+        await asyncio.gather(*(self._ask(each) for each in questions))
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                self._send_all(self.core.tick(self.clock()))
+                self._fetch_if_behind()
+                await self.client.close_idle()
+            except Exception:
+                eliot.write_traceback()
+            jitter_s = self.core.rng.uniform(-0.1, 0.1) * gossip.INTERVAL_S
+            await asyncio.sleep(gossip.INTERVAL_S + jitter_s)
+
+    def _send_all(self, questions: list[gossip.Question]) -> None:
+        for question in questions:
+            if len(self._tasks) >= MAX_TASKS:
+                self._count("peer_tasks_full")
+                return
+            self._start(self._ask(question))
+
+    def _fetch_if_behind(self) -> None:
+        host = self.core.next_fetch(self.clock())
+        if host is None:
+            return
+        self._start(self._fetch(host))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, question: gossip.Question) -> None:
+        sent_s = self.clock()
+        try:
+            reply = await self.client.gossip(question.address, question.message)
+        except exceptions.PeerError as error:
+            self._count(error.code)
+            self._fail(question)
+            return
+        if question.host not in (None, reply.sender.host):
+            # The address now belongs to another host.
+            self._fail(question)
+        self._send_all(self.core.on_reply(self.clock(), sent_s, reply))
+        self._fetch_if_behind()
+
+    def _fail(self, question: gossip.Question) -> None:
+        self._send_all(self.core.on_failure(self.clock(), question.host))
+
+    async def _fetch(self, host: Any) -> None:
+        member = self.core.members.members.get(host)
+        if member is None:
+            self.core.on_fetch_done(host, applied=False)
+            return
+        address = member.profile.peer_address
+        try:
+            since = self.replica.version()
+            delta = await self.client.fetch_delta(address, since)
+            self.replica.apply_delta(delta)
+        except exceptions.BanyanshedError as error:
+            self._count(error.code)
+            eliot.log_message(
+                message_type="peer:fetch_failed", code=error.code, peer=host
+            )
+            self.core.on_fetch_done(host, applied=False)
+            return
+        self.on_version()
+        self.core.on_fetch_done(host, applied=True)
+
+    def _count(self, code: str) -> None:
+        self.failures[code] = self.failures.get(code, 0) + 1
+
+    async def _cancel_tasks(self) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
