--- a/src/banyanshed/codec.py
+++ b/src/banyanshed/codec.py
@@ -14,6 +14,8 @@
 from banyanshed import gossip
 from banyanshed import membership
 from banyanshed import models
+from banyanshed import sessions
+from banyanshed import shares
 
 MAX_NAME_BYTES = 128
 MAX_LIST_ITEMS = 128
@@ -70,6 +72,49 @@
         raise exceptions.PeerMalformed(str(error)) from error
 
 
+def write_heartbeat(builder: Any, heartbeat: sessions.Heartbeat) -> None:
+    """Fills a Heartbeat of the schema."""
+    builder.session = heartbeat.session
+    builder.term = heartbeat.term
+    builder.sequence = heartbeat.sequence
+
+
+def read_heartbeat(reader: Any) -> sessions.Heartbeat:
+    """Returns a Heartbeat of the schema as a data object."""
+    return sessions.Heartbeat(
+        shares.SessionId(_read_name(reader.session)),
+        reader.term,
+        reader.sequence,
+    )
+
+
+def write_answer(builder: Any, answer: sessions.Acknowledgement) -> None:
+    """Fills an Acknowledgement of the schema."""
+    builder.host = answer.witness.host
+    builder.incarnation = answer.witness.incarnation
+    builder.term = answer.witness.term
+    builder.session = answer.session
+    builder.sequence = answer.sequence
+    builder.accepted = answer.accepted
+    builder.waived = answer.waived
+
+
+def read_answer(reader: Any) -> sessions.Acknowledgement:
+    """Returns an Acknowledgement of the schema as a data object."""
+    witness = sessions.WitnessId(
+        _read_host(reader.host),
+        sessions.Incarnation(_read_name(reader.incarnation)),
+        reader.term,
+    )
+    return sessions.Acknowledgement(
+        witness,
+        shares.SessionId(_read_name(reader.session)),
+        reader.sequence,
+        reader.accepted,
+        reader.waived,
+    )
+
+
 def encoded_bytes(message: gossip.GossipMessage) -> int:
     """Returns the size of a message without the transport's envelope."""
     builder = SCHEMA.GossipMessage.new_message()
--- a/src/banyanshed/peer.capnp
+++ b/src/banyanshed/peer.capnp
@@ -20,18 +20,24 @@
   fetchDelta @1 (since :UInt64, version :UInt64, offset :UInt64)
       -> (version :UInt64, size :UInt64, chunk :Data);
 
-  witness @2 (beat :WitnessBeat) -> (reply :WitnessReply);
+  heartbeat @2 (heartbeat :Heartbeat) -> (answer :Acknowledgement);
 }
 
-struct WitnessBeat {
-  host @0 :Text;
-  incarnation @1 :UInt64;
-  epoch @2 :UInt64;
+# From the holder of a session to its witness.
+struct Heartbeat {
+  session @0 :Text;
+  term @1 :UInt64;
+  sequence @2 :UInt64;
 }
 
-struct WitnessReply {
-  acked @0 :Bool;
-  incarnation @1 :UInt64;
+struct Acknowledgement {
+  host @0 :Text;
+  incarnation @1 :Text;
+  term @2 :UInt64;
+  session @3 :Text;
+  sequence @4 :UInt64;
+  accepted @5 :Bool;
+  waived @6 :Bool;
 }
 
 enum HostState {
--- a/src/banyanshed/peering.py
+++ b/src/banyanshed/peering.py
@@ -14,6 +14,7 @@
 from banyanshed import exceptions
 from banyanshed import gossip
 from banyanshed import peers
+from banyanshed import sessions
 
 MAX_TASKS = 64
 
@@ -36,10 +37,12 @@
 
 
 class Witness(Protocol):
-    """Answers the heartbeats of holders that named this host."""
+    """Answers heartbeats; leases.ShareHolder is one."""
 
-    def on_witness_beat(self, beat: peers.WitnessBeat) -> peers.WitnessReply:
-        """Returns the answer to a holder's heartbeat."""
+    def on_heartbeat(
+        self, now_s: float, heartbeat: sessions.Heartbeat
+    ) -> sessions.Acknowledgement:
+        """Returns a witness's answer to the holder of a session."""
 
 
 class Peering:
@@ -66,7 +69,7 @@
             core: Decides what to send.
             client: Sends it.
             replica: The configuration in force here.
-            witness: Answers holders' heartbeats.
+            witness: Answers the heartbeats of holders of sessions.
             clock: Returns monotonic seconds, as given to the core.
         """
         self.core = core
@@ -99,9 +102,11 @@
         """Returns what changed after a version."""
         return self.replica.encode_delta(version)
 
-    def on_witness_beat(self, beat: peers.WitnessBeat) -> peers.WitnessReply:
-        """Returns the answer to a holder's heartbeat."""
-        return self.witness.on_witness_beat(beat)
+    def on_heartbeat(
+        self, heartbeat: sessions.Heartbeat
+    ) -> sessions.Acknowledgement:
+        """Returns a witness's answer to the holder of a session."""
+        return self.witness.on_heartbeat(self.clock(), heartbeat)
 
     def on_version(self) -> None:
         """Tells peers at once that the version in force here has changed."""
--- a/src/banyanshed/peers.py
+++ b/src/banyanshed/peers.py
@@ -23,6 +23,7 @@
 from banyanshed import exceptions
 from banyanshed import gossip
 from banyanshed import models
+from banyanshed import sessions
 
 Answer = TypeVar("Answer")
 
@@ -49,34 +50,6 @@
 TCP_TIMEOUT_MS = 10_000
 
 
-@dataclasses.dataclass(frozen=True)
-class WitnessBeat:
-    """A holder's heartbeat to its witness.
-
-    Attributes:
-        host: The holder.
-        incarnation: Incarnation of the holder's process.
-        epoch: Number that the holder gives to its claim on the witness.
-    """
-
-    host: models.HostId
-    incarnation: int
-    epoch: int
-
-
-@dataclasses.dataclass(frozen=True)
-class WitnessReply:
-    """A witness's answer.
-
-    Attributes:
-        acked: The holder may go on.
-        incarnation: Incarnation of the witness's process.
-    """
-
-    acked: bool
-    incarnation: int
-
-
 @dataclasses.dataclass(frozen=True)
 class Delta:
     """Rows changed after a version, encoded.
@@ -114,8 +87,10 @@
     def delta_since(self, version: int) -> Delta:
         """Returns what changed after a version."""
 
-    def on_witness_beat(self, beat: WitnessBeat) -> WitnessReply:
-        """Returns the answer to a holder's heartbeat."""
+    def on_heartbeat(
+        self, heartbeat: sessions.Heartbeat
+    ) -> sessions.Acknowledgement:
+        """Returns a witness's answer to the holder of a session."""
 
 
 @dataclasses.dataclass
@@ -192,17 +167,12 @@
             results.size = len(delta.content)
             results.chunk = delta.content[offset : offset + CHUNK_BYTES]
 
-    async def witness(self, beat: Any, _context: Any, **_: Any) -> None:
-        """Answers a holder's heartbeat."""
+    async def heartbeat(self, heartbeat: Any, _context: Any, **_: Any) -> None:
+        """Answers the holder of a session as its witness."""
         with self.connection.calling() as server:
-            reply = server.handler.on_witness_beat(
-                WitnessBeat(
-                    models.HostId(beat.host), beat.incarnation, beat.epoch
-                )
-            )
-            results = _context.results.init("reply")
-            results.acked = reply.acked
-            results.incarnation = reply.incarnation
+            question = codec.read_heartbeat(heartbeat)
+            answer = server.handler.on_heartbeat(question)
+            codec.write_answer(_context.results.init("answer"), answer)
 
 
 class GateService(codec.SCHEMA.Gate.Server):
@@ -527,18 +497,18 @@
 
         return await self._call(address, send, read)
 
-    async def witness(self, address: str, beat: WitnessBeat) -> WitnessReply:
+    async def heartbeat(
+        self, address: str, heartbeat: sessions.Heartbeat
+    ) -> sessions.Acknowledgement:
         """Returns the witness's answer; raises PeerError."""
 
         def send(peer: Any) -> Any:
-            request = peer.witness_request()
-            request.beat.host = beat.host
-            request.beat.incarnation = beat.incarnation
-            request.beat.epoch = beat.epoch
+            request = peer.heartbeat_request()
+            codec.write_heartbeat(request.init("heartbeat"), heartbeat)
             return request.send()
 
-        def read(answer: Any) -> WitnessReply:
-            return WitnessReply(answer.reply.acked, answer.reply.incarnation)
+        def read(answer: Any) -> sessions.Acknowledgement:
+            return codec.read_answer(answer.answer)
 
         return await self._call(address, send, read)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -17,6 +17,7 @@
 from banyanshed import membership
 from banyanshed import models
 from banyanshed import peers
+from banyanshed import sessions
 
 SECRET = b"0123456789abcdef0123456789abcdef"
 PROFILE = models.ListedHost(
@@ -55,8 +56,13 @@
     def delta_since(self, version):
         return peers.Delta(version + 1, WHOLE_DELTA)
 
-    def on_witness_beat(self, beat):
-        return peers.WitnessReply(beat.epoch == 2, 2**64 - 1)
+    def on_heartbeat(self, heartbeat):
+        return sessions.Acknowledgement(
+            sessions.WitnessId("h0", "f00d", heartbeat.term),
+            heartbeat.session,
+            heartbeat.sequence,
+            accepted=heartbeat.term == 2,
+        )
 
 
 @dataclasses.dataclass
@@ -102,10 +108,10 @@
         async with open_bench() as bench, make_client() as client:
             calls = [client.gossip(bench.address, MESSAGE) for _ in range(9)]
             assert await asyncio.gather(*calls) == [MESSAGE] * 9
-            for epoch in (1, 2):
-                beat = peers.WitnessBeat("h1", 5, epoch)
-                reply = await client.witness(bench.address, beat)
-                assert reply == peers.WitnessReply(epoch == 2, 2**64 - 1)
+            for term in (1, 2):
+                beat = sessions.Heartbeat("h1/cafe.1", term, 9)
+                answer = await client.heartbeat(bench.address, beat)
+                assert answer == bench.handler.on_heartbeat(beat)
             delta = await client.fetch_delta(bench.address, 4)
             assert delta == peers.Delta(5, WHOLE_DELTA)
             assert len(bench.server.connections) == 1
