--- a/src/banyanshed/configuration.py
+++ b/src/banyanshed/configuration.py
@@ -129,7 +129,19 @@
         block = self.stored_block(key)
         if block is None:
             return models.TableRow(key, models.ABSENT_VERSION, None)
-        return _block_table_row(block)
+        return block_row(block)
+
+    def stored_rows(self, kind: str = "") -> list[models.TableRow]:
+        """Returns rows of one kind or all, as held.
+
+        Deleted rows and valid blocks are left out.
+        """
+        prefix = f"{rows.CONFIG_PREFIX}{kind}/" if kind else ""
+        found = []
+        for row in self.raw.values():
+            if row.value is not None and row.key.startswith(prefix):
+                found.append(row)
+        return found
 
     def delta_since(self, version: models.ConfigVersion) -> ConfigDelta:
         """Returns all rows changed after a version."""
@@ -290,7 +302,7 @@
             if row.version > version:
                 yield row
         for block in self.blocks.blocks_since(version):
-            row = _block_table_row(block)
+            row = block_row(block)
             # An invalid row newer than the block stands in `raw`.
             if row.key not in self.raw:
                 yield row
@@ -422,7 +434,8 @@
     return network if str(network) == cidr else None
 
 
-def _block_table_row(block: block_maps.Block) -> models.TableRow:
+def block_row(block: block_maps.Block) -> models.TableRow:
+    """Returns a block as it lies in the table service."""
     key = BLOCK_PREFIX + block.cidr.replace("/", "_")
     if block.site is None:
         return models.TableRow(key, block.version, None)
--- a/src/banyanshed/rows.py
+++ b/src/banyanshed/rows.py
@@ -24,7 +24,9 @@
 class ConfigRow(pydantic.BaseModel):
     """Base of all rows; unknown columns are refused."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
 
 
 class RegionRow(ConfigRow):
--- /dev/null
+++ b/tests/tables.py
@@ -0,0 +1,74 @@
+"""A table service in memory whose transactions fail as told."""
+
+from banyanshed import exceptions
+from banyanshed import models
+from banyanshed import rows
+from standins import platform
+
+
+class MemoryTable:
+    """Takes one fault for each transaction from a list, then none.
+
+    Faults: "down" (nothing takes effect), "lost" (it takes effect, the answer
+    is lost), "late" (it takes effect, if it still can, at the next call after
+    the following read), "silent" (it never takes effect, no answer).
+    """
+
+    def __init__(self, faults=()):
+        self.state = platform.Platform()
+        self.faults = list(faults)
+        self.reads_fail = 0
+        self.late = []
+        self.before_transact = []
+
+    def read(self, keys):
+        if self.reads_fail:
+            self.reads_fail -= 1
+            raise exceptions.StoreUnavailable("down")
+        return self.page(self.state.read(list(keys)))
+
+    def scan(self, prefix, since):
+        return self.page(self.state.scan(prefix, since))
+
+    def transact(self, transaction):
+        for action in self.before_transact[:1]:
+            del self.before_transact[0]
+            action()
+        self.settle()
+        fault = self.faults.pop(0) if self.faults else "none"
+        if fault == "down":
+            raise exceptions.StoreUnavailable("down")
+        if fault == "late":
+            self.late.append(transaction)
+        if fault in ("late", "silent"):
+            raise exceptions.StoreTimeout("no answer")
+        commit = self.take(transaction)
+        if fault == "lost":
+            raise exceptions.StoreTimeout("no answer")
+        return commit
+
+    def settle(self):
+        """Lets late transactions take effect."""
+        while self.late:
+            try:
+                self.take(self.late.pop())
+            except exceptions.ConditionFailed:
+                continue
+
+    def take(self, transaction):
+        request = {
+            "conditions": [vars(item) for item in transaction.conditions],
+            "writes": [vars(item) for item in transaction.writes],
+        }
+        status, result = self.state.transact(request)
+        if status == 409:
+            raise exceptions.ConditionFailed(self.page(result).rows)
+        return models.Commit(result["version"], result["now_s"])
+
+    def value(self, row):
+        return self.state.row(rows.row_key(row))["value"]
+
+    @staticmethod
+    def page(page):
+        found = tuple(models.TableRow(**row) for row in page["rows"])
+        return models.TablePage(found, page["version"], page["now_s"])
