Serve operators by ordinary CherryPy handlers

Cause: operators need tables, sheets, drains, keys and state of a host, by token, with errors that say what is in force.

Ruled out: CherryPy's own error pages, which show tracebacks; reading a body before the token is checked.

--- /dev/null
+++ b/src/banyanshed/operators.py
@@ -0,0 +1,560 @@
+"""Operators' pages, as ordinary CherryPy handlers that speak JSON.
+
+Mount `OperatorPages` below "/operator". Every call needs an operator's token
+in `Authorization: Bearer`. Errors come in the problem form of `problems`, with
+`findings` of a refused input and `rows` of a lost race.
+"""
+
+from collections.abc import Callable, Mapping
+import copy
+import dataclasses
+import functools
+import inspect
+import json
+from typing import Any, Protocol
+
+import cherrypy
+import pydantic
+
+from banyanshed import blocks
+from banyanshed import configuration as configurations
+from banyanshed import editing
+from banyanshed import edits as edit_rules
+from banyanshed import exceptions
+from banyanshed import keys
+from banyanshed import logs
+from banyanshed import models
+from banyanshed import platform
+from banyanshed import problems
+from banyanshed import rows
+from banyanshed import sheets
+
+BODY_LIMIT_BYTES = 8 << 20
+RETRY_AFTER_S = 1
+BLOCK_KIND = "block"
+JSON_TYPE = "application/json"
+CSV_TYPE = "text/csv; charset=utf-8"
+
+
+class Daemon(editing.Owner, Protocol):
+    """What the pages need of the daemon; called by any thread."""
+
+    host: models.HostId
+
+    def state_dump(self) -> dict[str, Any]:
+        """Returns the daemon's state in JSON types, without secrets."""
+
+    def hosts(self) -> tuple[models.ListedHost, ...]:
+        """Returns all entry hosts that the daemon knows."""
+
+
+class Body(pydantic.BaseModel):
+    """Base of the bodies of calls; unknown fields are refused."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", allow_inf_nan=False)
+
+
+class EditBody(Body):
+    """One row to write, or to delete when it has no value."""
+
+    key: str
+    version: int = models.ABSENT_VERSION
+    value: dict[str, Any] | None
+
+
+class EditsBody(Body):
+    """Rows to write or delete together."""
+
+    edits: list[EditBody]
+
+
+class DrainBody(Body):
+    """A drain to plan; its start counts from now."""
+
+    drain: rows.Name
+    service: rows.Name
+    region: rows.Name | None = None
+    backend: rows.Name | None = None
+    starts_in_s: float = pydantic.Field(default=0, ge=0)
+    lasts_s: float = pydantic.Field(gt=0)
+
+
+class NameBody(Body):
+    """Names a drain."""
+
+    drain: rows.Name
+
+
+class KeyBody(Body):
+    """A key to issue."""
+
+    tenant: rows.Name
+    label: str = ""
+
+
+class DigestBody(Body):
+    """Names a key by its digest."""
+
+    digest: str = pydantic.Field(pattern="^[0-9a-f]{64}$")
+
+
+@dataclasses.dataclass(frozen=True)
+class _Selection:
+    """Rows of one version of the configuration."""
+
+    version: models.ConfigVersion
+    rows: list[models.TableRow]
+    findings: list[exceptions.Finding]
+
+
+class Refused(Exception):
+    """Carries a refusal and further fields of its problem form."""
+
+    def __init__(self, refusal: models.Refusal, **fields: Any):
+        """Takes the refusal and the further fields."""
+        super().__init__(refusal.code)
+        self.refusal = refusal
+        self.fields = fields
+
+
+def operator_call(method: str) -> Callable[..., Any]:
+    """Exposes a handler to authenticated operators for one HTTP method."""
+
+    def decorate(handler: Callable[..., Any]) -> Any:
+        signature = inspect.signature(handler)
+
+        @functools.wraps(handler)
+        def handle(pages: "OperatorPages", *path: str, **query: str) -> bytes:
+            try:
+                operator = pages.authenticate()
+                _check_call(method, path)
+                _check_query(signature, query)
+                return handler(pages, operator, **query)
+            except Exception as error:  # Every error becomes a problem form.
+                return _answer_problem(error)
+
+        return cherrypy.expose(handle)
+
+    return decorate
+
+
+class OperatorPages:
+    """The handlers; one object serves all threads."""
+
+    _cp_config = {
+        "request.process_request_body": False,
+        "request.show_tracebacks": False,
+    }
+
+    def __init__(
+        self,
+        table: platform.Table,
+        daemon: Daemon,
+        operators: Mapping[str, str],
+    ):
+        """Takes the table service, the daemon, and operators by digest."""
+        self.editor = editing.Editor(table, daemon)
+        self.daemon = daemon
+        self.operators = operators
+
+    def authenticate(self) -> str:
+        """Returns the operator's name; raises Refused."""
+        header = cherrypy.request.headers.get("Authorization", "")
+        token = keys.bearer(header)
+        operator = None
+        if token is not None:
+            operator = keys.find_operator(token, self.operators)
+        if operator is None:
+            raise Refused(
+                problems.refuse(
+                    401, "operator_unknown", "An operator's token is needed."
+                )
+            )
+        return operator
+
+    @operator_call("GET")
+    def version(self, operator: str) -> bytes:
+        """Answers the version of the configuration in force here."""
+        version = self.daemon.inspect(lambda held: held.version)
+        return _answer({"host": self.daemon.host, "version": version})
+
+    @operator_call("GET")
+    def hosts(self, operator: str) -> bytes:
+        """Answers all known entry hosts."""
+        found = []
+        for host in self.daemon.hosts():
+            found.append(
+                {
+                    "host": host.host,
+                    "region": host.region,
+                    "zone": host.zone,
+                    "caller_address": host.caller_address,
+                    "state": host.state.value,
+                }
+            )
+        return _answer({"hosts": found})
+
+    @operator_call("GET")
+    def state(self, operator: str) -> bytes:
+        """Answers the daemon's state."""
+        return _answer(self.daemon.state_dump())
+
+    @operator_call("GET")
+    def rows(self, operator: str, kind: str = "", key: str = "") -> bytes:
+        """Answers rows as stored, of one kind or under one key, or all."""
+        selection = self._stored(kind, key)
+        return _answer(
+            {
+                "version": selection.version,
+                "rows": [_encode_row(row) for row in selection.rows],
+                "findings": [
+                    _encode_finding(finding) for finding in selection.findings
+                ],
+            }
+        )
+
+    @operator_call("GET")
+    def export(self, operator: str, kind: str = "") -> bytes:
+        """Answers rows as a CSV sheet."""
+        selection = self._stored(kind, "")
+        content = sheets.export(selection.rows).encode()
+        return _answer_bytes(content, CSV_TYPE)
+
+    @operator_call("POST")
+    def edit(self, operator: str) -> bytes:
+        """Writes or deletes rows together, if none changed since read."""
+        body = _read_model(EditsBody)
+        edits, versions = _parse_edits(body)
+        return self._commit(edits, versions, operator)
+
+    @operator_call("POST")
+    def sheet(self, operator: str) -> bytes:
+        """Writes the rows of a CSV sheet together."""
+        try:
+            text = _read_body().decode("utf-8")
+        except UnicodeDecodeError as error:
+            finding = exceptions.Finding(
+                f"byte {error.start}", "encoding", "expected UTF-8"
+            )
+            raise exceptions.InvalidInput([finding]) from None
+        sheet = sheets.parse(text)
+        return self._commit(list(sheet.edits), sheet.versions, operator)
+
+    @operator_call("GET")
+    def drains(self, operator: str) -> bytes:
+        """Answers all planned drains and the clock that they go by."""
+        selection = self._stored("drain", "")
+        return _answer(
+            {
+                "version": selection.version,
+                "now_s": self.editor.store_now_s(),
+                "drains": [_encode_row(row) for row in selection.rows],
+            }
+        )
+
+    @operator_call("POST")
+    def drain(self, operator: str) -> bytes:
+        """Plans a drain by the clock of the table service."""
+        body = _read_model(DrainBody)
+        starts_s = self.editor.store_now_s() + body.starts_in_s
+        value = body.model_dump(exclude={"starts_in_s", "lasts_s"})
+        value["kind"] = "drain"
+        value["starts_s"] = starts_s
+        value["ends_s"] = starts_s + body.lasts_s
+        row = _parse_row(value, f"drain {body.drain}")
+        edit = edit_rules.Edit(rows.row_key(row), row, f"drain {body.drain}")
+        return self._commit([edit], {}, operator)
+
+    @operator_call("POST")
+    def cancel_drain(self, operator: str) -> bytes:
+        """Cancels a drain, planned or under way."""
+        name = _read_model(NameBody).drain
+        key = f"{rows.CONFIG_PREFIX}drain/{name}"
+        return self._delete(key, f"drain {name}", operator)
+
+    @operator_call("POST")
+    def key(self, operator: str) -> bytes:
+        """Issues a key; only this answer ever shows it."""
+        body = _read_model(KeyBody)
+        secret = keys.make_key()
+        digest = keys.digest(secret)
+        row = rows.KeyRow(digest=digest, tenant=body.tenant, label=body.label)
+        edit = edit_rules.Edit(rows.row_key(row), row, "key")
+        try:
+            version = self.editor.commit([edit], {}, operator)
+        except exceptions.StoreTimeout as error:
+            raise _unknown(error, digest=digest) from error
+        logs.log("key_issued", operator=operator, tenant=body.tenant)
+        return _answer({"version": version, "key": secret, "digest": digest})
+
+    @operator_call("POST")
+    def withdraw_key(self, operator: str) -> bytes:
+        """Withdraws a key."""
+        digest = _read_model(DigestBody).digest
+        key = f"{rows.CONFIG_PREFIX}key/{digest}"
+        return self._delete(key, f"key {digest}", operator)
+
+    def _stored(self, kind: str, key: str) -> _Selection:
+        if kind and kind not in sheets.COLUMNS:
+            raise Refused(
+                problems.refuse(404, "unknown_kind", "No such kind of row.")
+            )
+        selection, block_map = self.daemon.inspect(
+            lambda held: _select(held, kind, key)
+        )
+        invalid = {row.key for row in selection.rows}
+        for block in block_map.blocks_since(models.ABSENT_VERSION):
+            if block.site is None:
+                continue
+            row = configurations.block_row(block)
+            if row.key not in invalid:
+                selection.rows.append(row)
+        return selection
+
+    def _delete(self, key: str, place: str, operator: str) -> bytes:
+        """Deletes a row whatever its content is now."""
+        stored = self.editor.stored(key)
+        if stored.value is None:
+            raise Refused(
+                problems.refuse(404, "unknown_row", f"There is no {place}.")
+            )
+        edit = edit_rules.Edit(key, None, place)
+        return self._commit([edit], {key: stored.version}, operator)
+
+    def _commit(
+        self,
+        edits: list[edit_rules.Edit],
+        versions: Mapping[str, int],
+        operator: str,
+    ) -> bytes:
+        if not edits:
+            finding = exceptions.Finding("input", "no_rows", "no rows given")
+            raise exceptions.InvalidInput([finding])
+        version = self.editor.commit(edits, versions, operator)
+        logs.log(
+            "edit_committed",
+            operator=operator,
+            version=version,
+            rows=len(edits),
+        )
+        return _answer({"version": version})
+
+
+def _select(
+    held: configurations.Configuration, kind: str, key: str
+) -> tuple[_Selection, blocks.BlockMap]:
+    """Returns rows, and a copy of blocks to be read off the owner's thread."""
+    found = [held.stored(key)] if key else held.stored_rows(kind)
+    findings: list[exceptions.Finding] = []
+    for row in found:
+        findings.extend(held.findings.get(row.key, ()))
+    selection = _Selection(held.version, found, findings)
+    if key or kind not in ("", BLOCK_KIND):
+        return selection, blocks.BlockMap()
+    return selection, copy.deepcopy(held.blocks)
+
+
+def _check_call(method: str, path: tuple[str, ...]) -> None:
+    if path:
+        raise Refused(problems.refuse(404, "unknown_path", "No such page."))
+    if cherrypy.request.method == method:
+        return
+    cherrypy.response.headers["Allow"] = method
+    raise Refused(
+        problems.refuse(405, "wrong_method", f"This page takes {method}.")
+    )
+
+
+def _check_query(
+    signature: inspect.Signature, query: Mapping[str, str]
+) -> None:
+    # The first two parameters are the pages and the operator's name.
+    known = list(signature.parameters)[2:]
+    for name, value in query.items():
+        if name in known and isinstance(value, str):
+            continue
+        raise Refused(
+            problems.refuse(
+                400, "bad_query", f"This page takes {known} once each."
+            )
+        )
+
+
+def _read_body() -> bytes:
+    length = cherrypy.request.headers.get("Content-Length", "")
+    if not (length.isascii() and length.isdigit()):
+        raise Refused(
+            problems.refuse(411, "no_length", "Content-Length is needed.")
+        )
+    if int(length) > BODY_LIMIT_BYTES:
+        raise Refused(
+            problems.refuse(
+                413, "too_large", f"At most {BODY_LIMIT_BYTES} bytes."
+            )
+        )
+    content = cherrypy.request.rfile.read(int(length))
+    if len(content) < int(length):
+        raise Refused(problems.refuse(400, "truncated", "The body was cut."))
+    return content
+
+
+def _read_model(model: type[Any]) -> Any:
+    try:
+        return model.model_validate_json(_read_body())
+    except pydantic.ValidationError as error:
+        findings = []
+        for detail in error.errors(include_input=False, include_url=False):
+            field = ".".join(str(part) for part in detail["loc"])
+            findings.append(
+                exceptions.Finding(
+                    f"field {field}" if field else "body",
+                    detail["type"],
+                    detail["msg"],
+                )
+            )
+        raise exceptions.InvalidInput(findings) from None
+
+
+def _parse_row(value: Any, place: str) -> rows.AnyRow:
+    try:
+        return rows.ROW_ADAPTER.validate_python(value)
+    except pydantic.ValidationError as error:
+        raise exceptions.InvalidInput(
+            configurations.row_findings(place, error)
+        ) from None
+
+
+def _parse_edits(
+    body: EditsBody,
+) -> tuple[list[edit_rules.Edit], dict[str, int]]:
+    edits = []
+    versions: dict[str, int] = {}
+    findings: list[exceptions.Finding] = []
+    for item in body.edits:
+        place = f"row {item.key}"
+        versions.setdefault(item.key, item.version)
+        if not item.key.startswith(rows.CONFIG_PREFIX):
+            findings.append(
+                exceptions.Finding(place, "wrong_key", "no configuration row")
+            )
+            continue
+        row = None
+        if item.value is not None:
+            try:
+                row = configurations.parse_row(
+                    models.TableRow(item.key, item.version, item.value)
+                )
+            except exceptions.InvalidInput as error:
+                findings.extend(error.findings)
+                continue
+        edits.append(edit_rules.Edit(item.key, row, place))
+    if findings:
+        raise exceptions.InvalidInput(findings)
+    return edits, versions
+
+
+def _encode_row(row: models.TableRow) -> dict[str, Any]:
+    return {"key": row.key, "version": row.version, "value": row.value}
+
+
+def _encode_finding(finding: exceptions.Finding) -> dict[str, str]:
+    return {
+        "place": finding.place,
+        "code": finding.code,
+        "message": finding.message,
+    }
+
+
+def _answer(value: Any) -> bytes:
+    return _answer_bytes(json.dumps(value).encode(), JSON_TYPE)
+
+
+def _answer_bytes(content: bytes, content_type: str) -> bytes:
+    cherrypy.response.headers["Content-Type"] = content_type
+    cherrypy.response.headers["Cache-Control"] = "no-store"
+    return content
+
+
+def _unknown(error: exceptions.StoreTimeout, **fields: Any) -> Refused:
+    return Refused(
+        problems.refuse(
+            504,
+            error.code,
+            "The table service did not answer; the change may be in force.",
+            RETRY_AFTER_S,
+            models.Ran.UNKNOWN,
+        ),
+        **fields,
+    )
+
+
+@functools.singledispatch
+def _as_refused(error: Exception) -> Refused:
+    logs.log("operator_call_failed", error=type(error).__name__)
+    return Refused(
+        problems.refuse(
+            500,
+            "internal",
+            "The call failed; it may have taken effect.",
+            ran=models.Ran.UNKNOWN,
+        )
+    )
+
+
+@_as_refused.register
+def _(error: Refused) -> Refused:
+    return error
+
+
+@_as_refused.register
+def _(error: exceptions.InvalidInput) -> Refused:
+    return Refused(
+        problems.refuse(422, error.code, "The input was refused whole."),
+        findings=[_encode_finding(finding) for finding in error.findings],
+    )
+
+
+@_as_refused.register
+def _(error: editing.LostRace) -> Refused:
+    lost = []
+    for edit, row in zip(error.edits, error.rows, strict=True):
+        yours = None
+        if edit.row is not None:
+            yours = configurations.encode_row(edit.row)
+        lost.append(_encode_row(row) | {"yours": yours})
+    return Refused(
+        problems.refuse(
+            409, error.code, "Rows were changed since they were read."
+        ),
+        rows=lost,
+    )
+
+
+@_as_refused.register
+def _(error: exceptions.StoreUnavailable) -> Refused:
+    return Refused(
+        problems.refuse(
+            503,
+            error.code,
+            "The table service did not take the call; nothing was changed.",
+            RETRY_AFTER_S,
+        )
+    )
+
+
+@_as_refused.register
+def _(error: exceptions.StoreTimeout) -> Refused:
+    return _unknown(error)
+
+
+def _answer_problem(error: Exception) -> bytes:
+    refused = _as_refused(error)
+    response = cherrypy.response
+    response.status = refused.refusal.status
+    for name, value in problems.headers(refused.refusal):
+        response.headers[name] = value
+    response.headers["Cache-Control"] = "no-store"
+    # A body that was not read must not be taken for the next request.
+    response.headers["Connection"] = "close"
+    content = json.loads(problems.encode(refused.refusal))
+    return json.dumps(content | refused.fields).encode()
