Add the operators' command line

Cause: operators drive the system from a shell and scripts.

Ruled out: flags for tokens, which would show in lists of processes; shared absl flags, which would clash with those of other programs in one process.

Change: `banyanshed` with documented exit codes, over urllib3.

--- /dev/null
+++ b/src/banyanshed/cli.py
@@ -0,0 +1,573 @@
+"""The operators' command line.
+
+Usage:
+    banyanshed [FLAGS] table show [KIND]
+    banyanshed [FLAGS] table set KIND/NAME[/NAME] COLUMN=VALUE ...
+    banyanshed [FLAGS] table delete KIND/NAME[/NAME]
+    banyanshed [FLAGS] rows import FILE|-
+    banyanshed [FLAGS] rows export [KIND]
+    banyanshed [FLAGS] drain plan DRAIN SERVICE --region=R|--backend=B
+                       --lasts_s=SECONDS [--starts_in_s=SECONDS]
+    banyanshed [FLAGS] drain list
+    banyanshed [FLAGS] drain cancel DRAIN
+    banyanshed [FLAGS] key issue TENANT [LABEL]
+    banyanshed [FLAGS] key withdraw DIGEST
+    banyanshed [FLAGS] state [all]
+    banyanshed [FLAGS] wait VERSION
+    banyanshed settings check FILE
+
+Exit codes:
+    0  done
+    1  the command failed for another reason
+    2  the command line is wrong
+    3  the input was refused whole; all findings are printed
+    4  others changed the rows since they were read; both values are printed
+    5  the call was refused: no such row, or no right to it
+    6  no host or no store could be reached; nothing was changed
+    7  no answer came; the change may be in force
+    8  the version was not in force everywhere in time
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+import dataclasses
+import enum
+import json
+import os
+import pathlib
+import sys
+import time
+from typing import Any
+import urllib.parse
+
+from absl import flags
+import urllib3
+
+from banyanshed import exceptions
+from banyanshed import rows
+from banyanshed import settings
+
+TOKEN_VARIABLE = "BANYANSHED_TOKEN"
+JSON_TYPE = "application/json"
+CSV_TYPE = "text/csv"
+WAIT_INTERVAL_S = 0.2
+
+FLAGS = flags.FlagValues()
+ENTRY = flags.DEFINE_list(
+    "entry",
+    ["127.0.0.1:8101"],
+    "IP:port of entry hosts; the first that can be reached is used.",
+    flag_values=FLAGS,
+)
+TOKEN_FILE = flags.DEFINE_string(
+    "token_file",
+    None,
+    f"File with the operator's token; else ${TOKEN_VARIABLE} is used.",
+    flag_values=FLAGS,
+)
+TIMEOUT_S = flags.DEFINE_float(
+    "timeout_s",
+    30.0,
+    "Longest wait for an answer, and for `wait`.",
+    lower_bound=0.1,
+    flag_values=FLAGS,
+)
+ROW_VERSION = flags.DEFINE_integer(
+    "row_version",
+    None,
+    "Version that the row had when you read it; else it is read now.",
+    flag_values=FLAGS,
+)
+REGION = flags.DEFINE_string(
+    "region", None, "Region to drain.", flag_values=FLAGS
+)
+BACKEND = flags.DEFINE_string(
+    "backend", None, "Backend server to drain.", flag_values=FLAGS
+)
+STARTS_IN_S = flags.DEFINE_float(
+    "starts_in_s", 0.0, "Time until a drain starts.", flag_values=FLAGS
+)
+LASTS_S = flags.DEFINE_float(
+    "lasts_s", None, "Time that a drain lasts.", flag_values=FLAGS
+)
+
+
+class ExitCode(enum.IntEnum):
+    """What became of a command."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    FINDINGS = 3
+    LOST_RACE = 4
+    REFUSED = 5
+    UNREACHABLE = 6
+    UNKNOWN = 7
+    TIMED_OUT = 8
+
+
+STATUS_EXIT_CODES = {
+    401: ExitCode.REFUSED,
+    404: ExitCode.REFUSED,
+    409: ExitCode.LOST_RACE,
+    422: ExitCode.FINDINGS,
+    503: ExitCode.UNREACHABLE,
+    504: ExitCode.UNKNOWN,
+}
+
+
+class CommandFailed(exceptions.BanyanshedError):
+    """A command did not do what was asked.
+
+    Attributes:
+        exit_code: Exit code of the program.
+        code: Stable code of the reason.
+        lines: What to print for people.
+    """
+
+    def __init__(self, exit_code: ExitCode, code: str, *lines: str):
+        """Takes the exit code, the reason's code and lines to print."""
+        super().__init__(code)
+        self.exit_code = exit_code
+        self.code = code
+        self.lines = lines
+
+
+class OperatorClient:
+    """Calls the operators' pages of entry hosts."""
+
+    def __init__(self, addresses: Sequence[str], token: str, timeout_s: float):
+        """Takes "IP:port" of hosts, the token and the longest wait."""
+        self.addresses = addresses
+        self.token = token
+        self.pool = urllib3.PoolManager(
+            retries=False, timeout=urllib3.Timeout(total=timeout_s)
+        )
+
+    def get(self, path: str, **query: str) -> Any:
+        """Returns the JSON value of a page."""
+        return json.loads(self.call("GET", path, query=query))
+
+    def post(self, path: str, value: Mapping[str, Any]) -> Any:
+        """Returns the JSON answer to a call that may write."""
+        content = json.dumps(value).encode()
+        return json.loads(self.call("POST", path, content))
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        content: bytes | None = None,
+        content_type: str = JSON_TYPE,
+        query: Mapping[str, str] | None = None,
+    ) -> bytes:
+        """Returns the answer of the first host that can be reached.
+
+        Raises:
+            CommandFailed: It was refused, or no whole answer came.
+        """
+        target = f"/operator/{path}"
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        headers = {"Authorization": f"Bearer {self.token}"}
+        if content is not None:
+            headers["Content-Type"] = content_type
+        for address in self.addresses:
+            try:
+                response = self.pool.request(
+                    method,
+                    f"http://{address}{target}",
+                    body=content,
+                    headers=headers,
+                    redirect=False,
+                )
+            except (
+                urllib3.exceptions.NewConnectionError,
+                urllib3.exceptions.ConnectTimeoutError,
+            ):
+                continue
+            except urllib3.exceptions.HTTPError as error:
+                if method == "GET":
+                    continue
+                raise CommandFailed(
+                    ExitCode.UNKNOWN,
+                    "no_answer",
+                    f"{address} did not answer; the change may be in force",
+                ) from error
+            if response.status == 200:
+                return response.data
+            raise _failure(response)
+        raise CommandFailed(
+            ExitCode.UNREACHABLE,
+            "unreachable",
+            f"none of {', '.join(self.addresses)} can be reached",
+        )
+
+
+def _failure(response: urllib3.BaseHTTPResponse) -> CommandFailed:
+    try:
+        problem = json.loads(response.data)
+        code = str(problem["code"])
+        lines = [str(problem["detail"])]
+        for finding in problem.get("findings", ()):
+            lines.append(str(exceptions.Finding(**finding)))
+        for row in problem.get("rows", ()):
+            lines.append(f"{row['key']} at version {row['version']}")
+            lines.append(f"  stored: {json.dumps(row['value'])}")
+            lines.append(f"  yours:  {json.dumps(row['yours'])}")
+        if "digest" in problem:
+            lines.append(f"withdraw the key {problem['digest']} if it is there")
+    except (ValueError, KeyError, TypeError):
+        code = "malformed_answer"
+        lines = [f"the host answered with status {response.status}"]
+    exit_code = STATUS_EXIT_CODES.get(response.status, ExitCode.FAILED)
+    return CommandFailed(exit_code, code, *lines)
+
+
+def show_table(client: OperatorClient, kind: str = "placement") -> None:
+    """Prints rows of a kind as an aligned table."""
+    shown = client.get("rows", kind=kind)
+    header: list[str] = []
+    for row in shown["rows"]:
+        for column in row["value"]:
+            if column not in header and column != "kind":
+                header.append(column)
+    lines = [[*header, "version"]]
+    for row in sorted(shown["rows"], key=_row_key):
+        cells = [str(row["value"].get(column, "")) for column in header]
+        lines.append([*cells, str(row["version"])])
+    _print_aligned(lines)
+    for finding in shown["findings"]:
+        print(exceptions.Finding(**finding), file=sys.stderr)
+    print(f"version {shown['version']}")
+
+
+def set_cells(client: OperatorClient, name: str, *cells: str) -> None:
+    """Changes or adds a row; cells are COLUMN=VALUE."""
+    key = rows.CONFIG_PREFIX + name
+    stored = client.get("rows", key=key)["rows"][0]
+    value = dict(stored["value"] or _new_value(name))
+    for cell in cells:
+        column, separator, content = cell.partition("=")
+        if not separator:
+            raise _usage(f"expected COLUMN=VALUE, not {cell!r}")
+        if not content:
+            value.pop(column, None)
+            continue
+        value[column] = _cell_value(column, content)
+    _edit(client, key, stored["version"], value)
+
+
+def delete_row(client: OperatorClient, name: str) -> None:
+    """Deletes a row."""
+    key = rows.CONFIG_PREFIX + name
+    stored = client.get("rows", key=key)["rows"][0]
+    if stored["value"] is None:
+        raise CommandFailed(
+            ExitCode.REFUSED, "unknown_row", f"there is no row {name}"
+        )
+    _edit(client, key, stored["version"], None)
+
+
+def import_rows(client: OperatorClient, path: str) -> None:
+    """Writes the rows of a CSV sheet."""
+    content = sys.stdin.buffer.read() if path == "-" else _read_file(path)
+    answer = client.call("POST", "sheet", content, CSV_TYPE)
+    _print_version(json.loads(answer))
+
+
+def export_rows(client: OperatorClient, kind: str = "") -> None:
+    """Prints rows as a CSV sheet."""
+    query = {"kind": kind} if kind else None
+    answer = client.call("GET", "export", query=query)
+    sys.stdout.write(answer.decode())
+
+
+def plan_drain(client: OperatorClient, drain: str, service: str) -> None:
+    """Plans a drain of a region of a service, or of a backend server."""
+    if LASTS_S.value is None:
+        raise _usage("--lasts_s is needed")
+    if (REGION.value is None) == (BACKEND.value is None):
+        raise _usage("give just one of --region and --backend")
+    value = {
+        "drain": drain,
+        "service": service,
+        "starts_in_s": STARTS_IN_S.value,
+        "lasts_s": LASTS_S.value,
+    }
+    if REGION.value is not None:
+        value["region"] = REGION.value
+    if BACKEND.value is not None:
+        value["backend"] = BACKEND.value
+    _print_version(client.post("drain", value))
+
+
+def list_drains(client: OperatorClient) -> None:
+    """Prints all drains with the seconds until they start and end."""
+    answer = client.get("drains")
+    now_s = answer["now_s"]
+    lines = [["drain", "service", "target", "starts_in_s", "ends_in_s"]]
+    for row in sorted(answer["drains"], key=_row_key):
+        value = row["value"]
+        lines.append(
+            [
+                value["drain"],
+                value["service"],
+                value.get("region") or value.get("backend") or "",
+                f"{value['starts_s'] - now_s:.0f}",
+                f"{value['ends_s'] - now_s:.0f}",
+            ]
+        )
+    _print_aligned(lines)
+
+
+def cancel_drain(client: OperatorClient, drain: str) -> None:
+    """Cancels a drain."""
+    _print_version(client.post("cancel_drain", {"drain": drain}))
+
+
+def issue_key(client: OperatorClient, tenant: str, label: str = "") -> None:
+    """Issues a key and prints it, once."""
+    answer = client.post("key", {"tenant": tenant, "label": label})
+    print(f"key {answer['key']}")
+    print(f"digest {answer['digest']}")
+    _print_version(answer)
+
+
+def withdraw_key(client: OperatorClient, digest: str) -> None:
+    """Withdraws a key."""
+    _print_version(client.post("withdraw_key", {"digest": digest}))
+
+
+def show_state(client: OperatorClient, scope: str = "one") -> None:
+    """Prints the state of one host, or of all as a JSON object by host."""
+    if scope == "one":
+        print(json.dumps(client.get("state"), indent=2))
+        return
+    if scope != "all":
+        raise _usage("expected `state` or `state all`")
+    states: dict[str, Any] = {}
+    missed = []
+    for host in client.get("hosts")["hosts"]:
+        try:
+            states[host["host"]] = _one(client, host).get("state")
+        except CommandFailed as error:
+            states[host["host"]] = {"error": error.code}
+            missed.append(host["host"])
+    print(json.dumps(states, indent=2))
+    if missed:
+        raise CommandFailed(
+            ExitCode.UNREACHABLE,
+            "unreachable",
+            f"no state from {', '.join(missed)}",
+        )
+
+
+def wait(client: OperatorClient, version: str) -> None:
+    """Waits until a version is in force on all live hosts."""
+    if not (version.isascii() and version.isdigit()):
+        raise _usage("VERSION is a number")
+    ends_s = time.monotonic() + TIMEOUT_S.value
+    while True:
+        behind = _hosts_behind(client, int(version))
+        if not behind:
+            print(f"version {version} is in force on all live hosts")
+            return
+        if time.monotonic() >= ends_s:
+            raise CommandFailed(
+                ExitCode.TIMED_OUT,
+                "not_in_force",
+                f"not in force on {', '.join(behind)}",
+            )
+        time.sleep(WAIT_INTERVAL_S)
+
+
+def check_settings(path: str) -> None:
+    """Checks a settings file and prints all findings."""
+    try:
+        text = _read_file(path).decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise CommandFailed(
+            ExitCode.FINDINGS, "encoding", f"byte {error.start}: not UTF-8"
+        ) from error
+    try:
+        settings.load(text)
+    except exceptions.InvalidSettings as error:
+        raise CommandFailed(
+            ExitCode.FINDINGS,
+            error.code,
+            *(str(finding) for finding in error.findings),
+        ) from None
+    print(f"{path} is valid")
+
+
+def _hosts_behind(client: OperatorClient, version: int) -> list[str]:
+    behind = []
+    hosts = client.get("hosts")["hosts"]
+    if not hosts:
+        return ["any host"]
+    for host in hosts:
+        if host["state"] != "live":
+            continue
+        try:
+            if _one(client, host).get("version")["version"] >= version:
+                continue
+        except CommandFailed as error:
+            if error.exit_code != ExitCode.UNREACHABLE:
+                raise
+        behind.append(host["host"])
+    return behind
+
+
+def _one(client: OperatorClient, host: Mapping[str, str]) -> OperatorClient:
+    """Returns a client of one host that shares the pool."""
+    single = OperatorClient([host["caller_address"]], client.token, 1)
+    single.pool = client.pool
+    return single
+
+
+def _new_value(name: str) -> dict[str, Any]:
+    kind, *names = name.split("/")
+    columns = rows.KEY_COLUMNS.get(kind, ())
+    if len(columns) != len(names):
+        raise _usage(f"{name!r} names no row")
+    value: dict[str, Any] = {"kind": kind}
+    value.update(zip(columns, names, strict=True))
+    if "cidr" in value:
+        value["cidr"] = value["cidr"].replace("_", "/")
+    return value
+
+
+def _cell_value(column: str, content: str) -> Any:
+    if column != "distances_ms":
+        return content
+    distances = {}
+    for item in content.split():
+        region, separator, distance = item.partition("=")
+        if not separator:
+            raise _usage(f"expected REGION=NUMBER, not {item!r}")
+        distances[region] = distance
+    return distances
+
+
+def _edit(
+    client: OperatorClient,
+    key: str,
+    version: int,
+    value: Mapping[str, Any] | None,
+) -> None:
+    if ROW_VERSION.value is not None:
+        version = ROW_VERSION.value
+    edit = {"key": key, "version": version, "value": value}
+    _print_version(client.post("edit", {"edits": [edit]}))
+
+
+def _print_version(answer: Mapping[str, Any]) -> None:
+    print(f"version {answer['version']}")
+
+
+def _print_aligned(lines: Sequence[Sequence[str]]) -> None:
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    for line in lines:
+        cells = [
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ]
+        print("  ".join(cells).rstrip())
+
+
+def _row_key(row: Mapping[str, Any]) -> str:
+    return str(row["key"])
+
+
+def _read_file(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise _usage(f"{path}: {error.strerror}") from error
+
+
+def _usage(line: str) -> CommandFailed:
+    return CommandFailed(ExitCode.USAGE, "usage", line)
+
+
+@dataclasses.dataclass(frozen=True)
+class Command:
+    """A command and how many words may follow it."""
+
+    function: Callable[..., None]
+    min_words: int
+    max_words: float
+    needs_host: bool = True
+
+
+COMMANDS: dict[tuple[str, ...], Command] = {
+    ("table", "show"): Command(show_table, 0, 1),
+    ("table", "set"): Command(set_cells, 2, float("inf")),
+    ("table", "delete"): Command(delete_row, 1, 1),
+    ("rows", "import"): Command(import_rows, 1, 1),
+    ("rows", "export"): Command(export_rows, 0, 1),
+    ("drain", "plan"): Command(plan_drain, 2, 2),
+    ("drain", "list"): Command(list_drains, 0, 0),
+    ("drain", "cancel"): Command(cancel_drain, 1, 1),
+    ("key", "issue"): Command(issue_key, 1, 2),
+    ("key", "withdraw"): Command(withdraw_key, 1, 1),
+    ("state",): Command(show_state, 0, 1),
+    ("wait",): Command(wait, 1, 1),
+    ("settings", "check"): Command(check_settings, 1, 1, needs_host=False),
+}
+
+
+def _dispatch(words: Sequence[str]) -> None:
+    for length in (1, 2):
+        command = COMMANDS.get(tuple(words[:length]))
+        if command is None:
+            continue
+        rest = words[length:]
+        if not command.min_words <= len(rest) <= command.max_words:
+            raise _usage(f"wrong number of words after {words[length - 1]}")
+        if not command.needs_host:
+            command.function(*rest)
+            return
+        client = OperatorClient(ENTRY.value, _read_token(), TIMEOUT_S.value)
+        command.function(client, *rest)
+        return
+    raise _usage("no such command; see `banyanshed help`")
+
+
+def _read_token() -> str:
+    if TOKEN_FILE.value is not None:
+        token = _read_file(TOKEN_FILE.value).decode("ascii", "replace")
+    else:
+        token = os.environ.get(TOKEN_VARIABLE, "")
+    token = token.strip()
+    if not token:
+        raise _usage(f"give the token by --token_file or ${TOKEN_VARIABLE}")
+    if not (token.isascii() and token.isprintable()):
+        raise _usage("the token holds characters that no token has")
+    return token
+
+
+def main(arguments: Sequence[str]) -> ExitCode:
+    """Runs one command; arguments begin with the program's name."""
+    if not {"help", "--help", "-h"}.isdisjoint(arguments[1:2]):
+        print(__doc__)
+        print(FLAGS.get_help())
+        return ExitCode.DONE
+    for name in FLAGS:
+        FLAGS[name].unparse()
+    try:
+        words = FLAGS(list(arguments))[1:]
+        _dispatch(words)
+    except flags.Error as error:
+        print(f"error [usage]: {error}", file=sys.stderr)
+        return ExitCode.USAGE
+    except CommandFailed as error:
+        print(f"error [{error.code}]: {error.lines[0]}", file=sys.stderr)
+        for line in error.lines[1:]:
+            print(line, file=sys.stderr)
+        return error.exit_code
+    return ExitCode.DONE
+
+
+def run() -> None:
+    """Entry point of the program."""
+    sys.exit(main(sys.argv))
