Add the ledger of idempotent requests

Cause: a request with an idempotency key must run at most once, whichever hosts get it, and repeats must get the recorded answer or a true refusal.

A claim is never taken over, so no clock matters but for the retention of 24 h. A claim's write whose answer was lost is sent again and recognised by its token; if it stays in doubt, a released row is written in its place, since a late write takes effect on an absent one. While the store can't be read, a refusal says 'unknown': the key may have been used before, and 'not run' would then be false.

Ruled out: takeover of a claim after its deadline (a claimant that was lost after the send makes it run twice); deleting the row on release; reading again in place of writing again (an absent row proves nothing about a late write).

--- /dev/null
+++ b/src/banyanshed/claims.py
@@ -0,0 +1,484 @@
+"""At-most-once execution of requests that carry an idempotency key.
+
+A request is reserved in the table service, sent once by the host that holds
+the claim, and its answer is recorded for repeats. Each operation here is a
+generator: it yields one step of input or output, is sent the result or thrown
+the platform's error, and returns what was decided.
+
+A claim is never taken over. So the safety of the ledger rests on conditional
+writes alone and on no clock, but for the retention of old claims.
+"""
+
+import base64
+from collections.abc import Generator, Sequence
+import dataclasses
+import enum
+import hashlib
+import json
+from typing import Any, TypeVar
+
+import pydantic
+
+from banyanshed import exceptions
+from banyanshed import models
+from banyanshed import requests
+
+CLAIM_PREFIX = "claim/"
+CLAIM_RETENTION_S = 24 * 3600.0
+CLAIM_ATTEMPTS = 4
+INLINE_ANSWER_BYTES = 4096
+IN_PROGRESS_RETRY_S = 1.0
+STORE_RETRY_S = 2.0
+UNKNOWN_RETRY_S = 30.0
+SWEEP_DIGITS = 3
+SWEEP_ROWS = 50
+NO_TENANT = "-"
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True)
+class Transact:
+    """Step: applies a transaction; yields a Commit."""
+
+    transaction: models.Transaction
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadRow:
+    """Step: reads a row; yields a TablePage with it alone."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ScanRows:
+    """Step: reads all rows below a prefix; yields a TablePage."""
+
+    prefix: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadObject:
+    """Step: reads an object; yields its bytes, or None."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteObject:
+    """Step: writes an object."""
+
+    name: str
+    content: bytes = dataclasses.field(repr=False)
+
+
+@dataclasses.dataclass(frozen=True)
+class DeleteObject:
+    """Step: deletes an object."""
+
+    name: str
+
+
+Step = Transact | ReadRow | ScanRows | ReadObject | WriteObject | DeleteObject
+Steps = Generator[Step, Any, T]
+
+
+class ClaimState(enum.Enum):
+    """What became of a claimed request."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    RELEASED = "released"
+
+
+class StoredAnswer(pydantic.BaseModel):
+    """A recorded answer; a body of None lies in the object store.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers to send on.
+        digest: SHA-256 of the body in hex.
+        body: The body in base64; or None.
+    """
+
+    status: int
+    headers: dict[str, str]
+    digest: str
+    body: str | None = None
+
+
+class ClaimRow(pydantic.BaseModel):
+    """The row of a claim.
+
+    Attributes:
+        state: What became of the request.
+        fingerprint: Digest of the request that the key was used for.
+        token: Unique token of the claim's owner.
+        created_s: Time of the claim, on the table service's clock.
+        ends_s: Deadline of the request, on the table service's clock.
+        answer: The recorded answer once done.
+    """
+
+    state: ClaimState
+    fingerprint: str
+    token: str
+    created_s: float
+    ends_s: float
+    answer: StoredAnswer | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """One attempt to run a request, held once its row is written.
+
+    Attributes:
+        key: Key of the claim's row.
+        fingerprint: Digest of the request.
+        token: Unique token of this claim.
+        created_s: Start, on the table service's clock.
+        ends_s: Deadline of the request, on the table service's clock.
+        send_before_s: Monotonic time after which it must not be sent.
+        base_version: Version of the row that the claim replaces.
+        version: Version of the claim's row; 0 while not known to be written.
+    """
+
+    key: str
+    fingerprint: str
+    token: str
+    created_s: float
+    ends_s: float
+    send_before_s: float
+    base_version: int = models.ABSENT_VERSION
+    version: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class InDoubt:
+    """The claim's write may still take effect; it must be withdrawn.
+
+    Attributes:
+        claim: The claim, which will not be sent.
+        refusal: Answer to the caller.
+    """
+
+    claim: Claim
+    refusal: models.Refusal
+
+
+class StoreClock:
+    """Estimates the table service's clock; never ahead of it."""
+
+    def __init__(self) -> None:
+        """Starts without an estimate."""
+        self.offset_s: float | None = None
+
+    def observe(self, now_s: float, store_now_s: float) -> None:
+        """Takes a time that the service told, received at `now_s`."""
+        self.offset_s = store_now_s - now_s
+
+    def estimate_s(self, now_s: float) -> float:
+        """Returns the service's time; `observe` must have come before."""
+        assert self.offset_s is not None
+        return now_s + self.offset_s
+
+
+def claim_key(tenant: models.TenantId | None, idempotency_key: str) -> str:
+    """Returns the key of the row; the caller's key is stored as a digest."""
+    named = json.dumps([tenant or NO_TENANT, idempotency_key])
+    return CLAIM_PREFIX + hashlib.sha256(named.encode()).hexdigest()
+
+
+def fingerprint(request: requests.CallerRequest) -> str:
+    """Returns a digest of what makes a request the same as another."""
+    body_digest = hashlib.sha256(request.body).hexdigest()
+    parts = [request.method, request.service, request.target, body_digest]
+    return hashlib.sha256(json.dumps(parts).encode()).hexdigest()
+
+
+def may_send(claim: Claim, now_s: float) -> bool:
+    """Tells whether the holder of a claim may still send its request."""
+    return claim.version > 0 and now_s < claim.send_before_s
+
+
+Reservation = Claim | requests.Answer | models.Refusal | InDoubt
+
+
+def reserve(claim: Claim) -> Steps[Reservation]:
+    """Claims a request, or tells what became of it.
+
+    A write whose answer was lost is sent again: it is refused if the first
+    took effect, and the row then bears the claim's own token.
+
+    Returns:
+        The claim that is now held, the recorded answer, a refusal, or InDoubt.
+    """
+    doubted = False
+    for _ in range(CLAIM_ATTEMPTS):
+        try:
+            commit = yield _write(claim, claim.base_version, ClaimState.CLAIMED)
+            return dataclasses.replace(claim, version=commit.version)
+        except exceptions.StoreTimeout:
+            doubted = True
+            continue
+        except exceptions.StoreUnavailable:
+            break
+        except exceptions.ConditionFailed as failure:
+            row = failure.rows[0]
+        # The row has moved on: no write sent so far can take effect now.
+        doubted = False
+        if _is_own(row, claim, ClaimState.CLAIMED):
+            return dataclasses.replace(claim, version=row.version)
+        if not _is_free(row, claim.created_s):
+            return (yield from _answer_repeat(claim, row))
+        claim = dataclasses.replace(claim, base_version=row.version)
+    refusal = refuse_unreachable()
+    return InDoubt(claim, refusal) if doubted else refusal
+
+
+def record(claim: Claim, answer: requests.Answer) -> Steps[bool]:
+    """Records the answer to a request that ran; may be repeated.
+
+    Returns:
+        False when the claim is no longer there to be recorded.
+    """
+    body: str | None = base64.b64encode(answer.body).decode()
+    if len(answer.body) > INLINE_ANSWER_BYTES:
+        yield WriteObject(object_name(claim.key, claim.token), answer.body)
+        body = None
+    stored = StoredAnswer(
+        status=answer.status,
+        headers=dict(answer.headers),
+        body=body,
+        digest=hashlib.sha256(answer.body).hexdigest(),
+    )
+    try:
+        yield _write(claim, claim.version, ClaimState.DONE, stored)
+    except exceptions.ConditionFailed as failure:
+        return _is_own(failure.rows[0], claim, ClaimState.DONE)
+    return True
+
+
+def withdraw(claim: Claim) -> Steps[None]:
+    """Gives up a claim that was surely not sent; may be repeated.
+
+    The row is marked rather than deleted, since a write of the claim that
+    is still under way would take effect on an absent row.
+    """
+    version = claim.version
+    while True:
+        if version == 0:
+            page = yield ReadRow(claim.key)
+            row = page.rows[0]
+            if not _is_withdrawable(row, claim):
+                return
+            version = row.version
+        try:
+            yield _write(claim, version, ClaimState.RELEASED)
+            return
+        except exceptions.ConditionFailed as failure:
+            if not _is_withdrawable(failure.rows[0], claim):
+                return
+            version = failure.rows[0].version
+
+
+def sweep(prefix: str) -> Steps[int]:
+    """Deletes claims below a prefix that are older than the retention.
+
+    Returns:
+        How many claims were deleted, at most SWEEP_ROWS.
+    """
+    page = yield ScanRows(prefix)
+    expired = _expired(page)[:SWEEP_ROWS]
+    if not expired:
+        return 0
+    for row in expired:
+        found = _decode(row)
+        if found is not None and _may_have_object(found):
+            yield DeleteObject(object_name(row.key, found.token))
+    conditions = tuple(
+        models.Condition(row.key, row.version) for row in expired
+    )
+    writes = tuple(models.Write(row.key, None) for row in expired)
+    try:
+        yield Transact(models.Transaction(conditions, writes))
+    except exceptions.ConditionFailed:
+        return 0
+    return len(expired)
+
+
+def object_name(key: str, token: str) -> str:
+    """Returns the name of the object that holds a large answer."""
+    return f"{key}/{token}"
+
+
+def decode_answer(stored: StoredAnswer, body: bytes) -> requests.Answer | None:
+    """Returns a recorded answer; None when its body is not whole."""
+    if hashlib.sha256(body).hexdigest() != stored.digest:
+        return None
+    return requests.Answer(stored.status, stored.headers, body)
+
+
+def refuse_reused() -> models.Refusal:
+    """Returns the refusal of a key that was used for another request."""
+    return models.Refusal(
+        422,
+        "key_reused",
+        models.Ran.NO,
+        None,
+        "The idempotency key was used for another request.",
+    )
+
+
+def refuse_full() -> models.Refusal:
+    """Returns the refusal while too many answers wait to be recorded."""
+    return _refuse_uncertain(
+        "ledger_full",
+        STORE_RETRY_S,
+        "Too many answers wait for the table service. This request was not "
+        "sent; whether an earlier one with its key ran is not known.",
+    )
+
+
+def refuse_unreachable() -> models.Refusal:
+    """Returns the refusal while the table service does not answer."""
+    return _refuse_uncertain(
+        exceptions.StoreUnavailable.code,
+        STORE_RETRY_S,
+        "The table service does not answer. This request was not sent; "
+        "whether an earlier one with its key ran is not known.",
+    )
+
+
+def _answer_repeat(claim: Claim, row: models.TableRow) -> Steps[Reservation]:
+    found = _decode(row)
+    if found is None:
+        return _refuse_unreadable()
+    if found.fingerprint != claim.fingerprint:
+        return refuse_reused()
+    if found.state is ClaimState.CLAIMED:
+        return _refuse_claimed(found, claim.created_s)
+    stored = found.answer
+    if stored is None:
+        return _refuse_unreadable()
+    try:
+        body = yield from _load_body(claim.key, found.token, stored)
+    except exceptions.PlatformError:
+        body = None
+    answer = None if body is None else decode_answer(stored, body)
+    return _refuse_unreadable() if answer is None else answer
+
+
+def _load_body(
+    key: str, token: str, stored: StoredAnswer
+) -> Steps[bytes | None]:
+    if stored.body is not None:
+        return base64.b64decode(stored.body)
+    return (yield ReadObject(object_name(key, token)))
+
+
+def _write(
+    claim: Claim,
+    version: int,
+    state: ClaimState,
+    answer: StoredAnswer | None = None,
+) -> Transact:
+    row = ClaimRow(
+        state=state,
+        fingerprint=claim.fingerprint,
+        token=claim.token,
+        created_s=claim.created_s,
+        ends_s=claim.ends_s,
+        answer=answer,
+    )
+    value = row.model_dump(mode="json", exclude_none=True)
+    return Transact(
+        models.Transaction(
+            (models.Condition(claim.key, version),),
+            (models.Write(claim.key, value),),
+        )
+    )
+
+
+def _decode(row: models.TableRow) -> ClaimRow | None:
+    """Returns the claim of a row; None when it is absent or malformed."""
+    try:
+        return ClaimRow.model_validate(row.value)
+    except pydantic.ValidationError:
+        return None
+
+
+def _is_expired(found: ClaimRow, now_s: float) -> bool:
+    return found.created_s + CLAIM_RETENTION_S < now_s
+
+
+def _is_free(row: models.TableRow, now_s: float) -> bool:
+    found = _decode(row)
+    if found is None:
+        return row.value is None
+    return found.state is ClaimState.RELEASED or _is_expired(found, now_s)
+
+
+def _is_own(row: models.TableRow, claim: Claim, state: ClaimState) -> bool:
+    found = _decode(row)
+    if found is None:
+        return False
+    return found.token == claim.token and found.state is state
+
+
+def _may_have_object(found: ClaimRow) -> bool:
+    # A claimant that died may have left an object that no row names.
+    if found.state is ClaimState.CLAIMED:
+        return True
+    return found.answer is not None and found.answer.body is None
+
+
+def _is_withdrawable(row: models.TableRow, claim: Claim) -> bool:
+    if _is_own(row, claim, ClaimState.CLAIMED):
+        return True
+    # As it stands, the claim's write could still take effect.
+    untouched = row.version == claim.base_version
+    absent = claim.base_version == 0 and row.value is None
+    return claim.version == 0 and (untouched or absent)
+
+
+def _expired(page: models.TablePage) -> Sequence[models.TableRow]:
+    rows = []
+    for row in page.rows:
+        found = _decode(row)
+        if found is not None and _is_expired(found, page.now_s):
+            rows.append(row)
+    return rows
+
+
+def _refuse_uncertain(
+    code: str, retry_after_s: float, detail: str, status: int = 503
+) -> models.Refusal:
+    return models.Refusal(
+        status, code, models.Ran.UNKNOWN, retry_after_s, detail
+    )
+
+
+def _refuse_claimed(found: ClaimRow, now_s: float) -> models.Refusal:
+    if now_s < found.ends_s:
+        return _refuse_uncertain(
+            "in_progress",
+            IN_PROGRESS_RETRY_S,
+            "A request with this key is being served.",
+            409,
+        )
+    return _refuse_uncertain(
+        "outcome_unknown",
+        UNKNOWN_RETRY_S,
+        "A request with this key was sent and its answer is not recorded; "
+        "it may have run and will not be sent again.",
+        409,
+    )
+
+
+def _refuse_unreadable() -> models.Refusal:
+    return _refuse_uncertain(
+        "answer_unavailable",
+        STORE_RETRY_S,
+        "A request with this key ran; its answer can't be read now.",
+    )
--- /dev/null
+++ b/src/banyanshed/ledger.py
@@ -0,0 +1,306 @@
+"""Drives the steps of claims against the platform, in pool threads."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import functools
+import random
+import threading
+import time
+from typing import Any, TypeVar
+import uuid
+
+from banyanshed import claims
+from banyanshed import exceptions
+from banyanshed import models
+from banyanshed import platform
+from banyanshed import requests
+
+PENDING_COUNT = 1000
+PENDING_BYTES = 32 << 20
+FLUSH_FAILURES = 3
+SWEEP_INTERVAL_S = 10.0
+HEX_DIGITS = "0123456789abcdef"
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True)
+class PendingRecord:
+    """An answer that is still to be recorded."""
+
+    claim: claims.Claim
+    answer: requests.Answer = dataclasses.field(repr=False)
+
+
+@dataclasses.dataclass(frozen=True)
+class PendingRelease:
+    """A claim that was not sent and is still to be given up."""
+
+    claim: claims.Claim
+
+
+Pending = PendingRecord | PendingRelease
+
+
+class Ledger:
+    """The ledger of idempotent requests as one host uses it; thread-safe.
+
+    Attributes:
+        pending: Work that the platform did not take yet, oldest first, by
+            the claim's token. `flush` repeats it.
+        results: Counts of results by name, for metrics.
+    """
+
+    def __init__(
+        self,
+        table: platform.Table,
+        objects: platform.ObjectStore,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        """Takes the platform's services and a monotonic clock in seconds."""
+        self.table = table
+        self.objects = objects
+        self.clock = clock
+        self.store_clock = claims.StoreClock()
+        self.lock = threading.Lock()
+        self.pending: dict[str, Pending] = {}
+        self.pending_bytes = 0
+        self.results: collections.Counter[str] = collections.Counter()
+
+    def claim(
+        self,
+        tenant: models.TenantId | None,
+        request: requests.CallerRequest,
+        time_left_s: float,
+    ) -> claims.Claim | requests.Answer | models.Refusal:
+        """Reserves a request that carries an idempotency key.
+
+        Args:
+            tenant: Tenant of the request; None on routes open to all.
+            request: The request; its idempotency key must be given.
+            time_left_s: Time until the request's deadline, in seconds.
+
+        Returns:
+            The claim, whose holder alone may send the request and must then
+            record or release it; the recorded answer; or a refusal.
+        """
+        result = self._claim(tenant, request, time_left_s)
+        name = type(result).__name__.lower()
+        if isinstance(result, models.Refusal):
+            name = result.code
+        with self.lock:
+            self.results[name] += 1
+        return result
+
+    def record(self, claim: claims.Claim, answer: requests.Answer) -> None:
+        """Records an answer; keeps it for `flush` if the platform fails."""
+        self._settle(PendingRecord(claim, answer))
+
+    def release(self, claim: claims.Claim) -> None:
+        """Gives up a claim of a request that surely did not run."""
+        self._settle(PendingRelease(claim))
+
+    def flush(self) -> int:
+        """Repeats pending work; returns how much is left.
+
+        Stops after some failures, with what failed moved to the end.
+        """
+        with self.lock:
+            todo = list(self.pending.values())
+        failures = 0
+        for pending in todo:
+            if failures == FLUSH_FAILURES:
+                break
+            settled = self._try_settle(pending)
+            self._drop(pending)
+            if not settled:
+                self._keep(pending)
+                failures += 1
+        return len(self.pending)
+
+    def sweep(self, rng: random.Random) -> int:
+        """Deletes old claims in one random part of the ledger.
+
+        Hosts call it every SWEEP_INTERVAL_S and need not agree.
+
+        Returns:
+            How many claims were deleted; 0 also when the platform failed.
+        """
+        digits = rng.choices(HEX_DIGITS, k=claims.SWEEP_DIGITS)
+        prefix = claims.CLAIM_PREFIX + "".join(digits)
+        try:
+            return self._drive(claims.sweep(prefix))
+        except exceptions.PlatformError:
+            return 0
+
+    def _claim(
+        self,
+        tenant: models.TenantId | None,
+        request: requests.CallerRequest,
+        time_left_s: float,
+    ) -> claims.Claim | requests.Answer | models.Refusal:
+        assert request.idempotency_key is not None
+        end_s = self.clock() + time_left_s
+        key = claims.claim_key(tenant, request.idempotency_key)
+        fingerprint = claims.fingerprint(request)
+        waiting = self._find_pending(key, fingerprint)
+        if waiting is not None:
+            return waiting
+        if self._is_full():
+            return claims.refuse_full()
+        try:
+            self._learn_store_clock(key)
+        except exceptions.PlatformError:
+            return claims.refuse_unreachable()
+        created_s = self.store_clock.estimate_s(self.clock())
+        claim = claims.Claim(
+            key=key,
+            fingerprint=fingerprint,
+            token=uuid.uuid4().hex,
+            created_s=created_s,
+            ends_s=created_s + time_left_s,
+            send_before_s=end_s,
+        )
+        result = self._drive(claims.reserve(claim), end_s)
+        if not isinstance(result, claims.InDoubt):
+            return result
+        self._keep(PendingRelease(result.claim))
+        return result.refusal
+
+    def _find_pending(
+        self, key: str, fingerprint: str
+    ) -> requests.Answer | models.Refusal | None:
+        with self.lock:
+            waiting = list(self.pending.values())
+        for pending in waiting:
+            if pending.claim.key != key:
+                continue
+            if isinstance(pending, PendingRelease):
+                continue
+            if pending.claim.fingerprint != fingerprint:
+                return claims.refuse_reused()
+            return pending.answer
+        return None
+
+    def _is_full(self) -> bool:
+        full = len(self.pending) >= PENDING_COUNT
+        return full or self.pending_bytes >= PENDING_BYTES
+
+    def _learn_store_clock(self, key: str) -> None:
+        if self.store_clock.offset_s is None:
+            self._perform(claims.ReadRow(key))
+
+    def _settle(self, pending: Pending) -> None:
+        if not self._try_settle(pending):
+            self._keep(pending)
+
+    def _try_settle(self, pending: Pending) -> bool:
+        try:
+            self._drive(_steps(pending))
+        except exceptions.PlatformError:
+            return False
+        return True
+
+    def _keep(self, pending: Pending) -> None:
+        with self.lock:
+            self.pending[pending.claim.token] = pending
+            self.pending_bytes += _size_bytes(pending)
+
+    def _drop(self, pending: Pending) -> None:
+        with self.lock:
+            if self.pending.pop(pending.claim.token, None) is not None:
+                self.pending_bytes -= _size_bytes(pending)
+
+    def _drive(self, steps: claims.Steps[T], end_s: float | None = None) -> T:
+        """Performs steps; those due after `end_s` fail as not taken."""
+        advance: Callable[[], claims.Step] = functools.partial(next, steps)
+        while True:
+            try:
+                step = advance()
+            except StopIteration as stop:
+                return stop.value
+            try:
+                if end_s is not None and self.clock() >= end_s:
+                    raise exceptions.StoreUnavailable("deadline passed")
+                result = self._perform(step)
+            except exceptions.PlatformError as error:
+                advance = functools.partial(steps.throw, error)
+                continue
+            advance = functools.partial(steps.send, result)
+
+    def _perform(self, step: claims.Step) -> Any:
+        result = _perform(step, self.table, self.objects)
+        if isinstance(result, models.Commit | models.TablePage):
+            self.store_clock.observe(self.clock(), result.now_s)
+        return result
+
+
+@functools.singledispatch
+def _steps(pending: Pending) -> claims.Steps[Any]:
+    raise TypeError(type(pending).__name__)
+
+
+@_steps.register
+def _record_steps(pending: PendingRecord) -> claims.Steps[Any]:
+    return claims.record(pending.claim, pending.answer)
+
+
+@_steps.register
+def _release_steps(pending: PendingRelease) -> claims.Steps[Any]:
+    return claims.withdraw(pending.claim)
+
+
+def _size_bytes(pending: Pending) -> int:
+    if isinstance(pending, PendingRecord):
+        return len(pending.answer.body)
+    return 0
+
+
+@functools.singledispatch
+def _perform(
+    step: claims.Step, table: platform.Table, objects: platform.ObjectStore
+) -> Any:
+    raise TypeError(type(step).__name__)
+
+
+@_perform.register
+def _transact(
+    step: claims.Transact, table: platform.Table, _: platform.ObjectStore
+) -> models.Commit:
+    return table.transact(step.transaction)
+
+
+@_perform.register
+def _read_row(
+    step: claims.ReadRow, table: platform.Table, _: platform.ObjectStore
+) -> models.TablePage:
+    return table.read([step.key])
+
+
+@_perform.register
+def _scan_rows(
+    step: claims.ScanRows, table: platform.Table, _: platform.ObjectStore
+) -> models.TablePage:
+    return table.scan(step.prefix, 0)
+
+
+@_perform.register
+def _read_object(
+    step: claims.ReadObject, _: platform.Table, objects: platform.ObjectStore
+) -> bytes | None:
+    return objects.get(step.name)
+
+
+@_perform.register
+def _write_object(
+    step: claims.WriteObject, _: platform.Table, objects: platform.ObjectStore
+) -> None:
+    objects.put(step.name, step.content)
+
+
+@_perform.register
+def _delete_object(
+    step: claims.DeleteObject, _: platform.Table, objects: platform.ObjectStore
+) -> None:
+    objects.delete(step.name)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,82 @@
+"""The platform's stand-in in the test's own process, with scripted faults."""
+
+import dataclasses
+
+from banyanshed import exceptions
+from banyanshed import models
+from standins import platform
+
+
+class MemoryTable:
+    """Table service whose next calls fail as `faults` says.
+
+    Faults: "ok"; "down" does nothing; "lost" applies and loses the answer;
+    "late" loses the answer and applies when `deliver` is called.
+    """
+
+    def __init__(self):
+        self.platform = platform.Platform()
+        self.faults = []
+        self.late = []
+        self.transactions = 0
+        self.now_s = 1000.0
+
+    def read(self, keys):
+        return self._page(self._call(lambda: self.platform.read(list(keys))))
+
+    def scan(self, prefix, since):
+        return self._page(self._call(lambda: self.platform.scan(prefix, since)))
+
+    def transact(self, transaction):
+        self.transactions += 1
+        status, result = self._call(
+            lambda: self.platform.transact(dataclasses.asdict(transaction))
+        )
+        if status == 409:
+            raise exceptions.ConditionFailed(self._page(result).rows)
+        return models.Commit(result["version"], self.now_s)
+
+    def deliver(self):
+        for apply in self.late:
+            apply()
+        self.late.clear()
+
+    def _call(self, apply):
+        fault = self.faults.pop(0) if self.faults else "ok"
+        if fault == "down":
+            raise exceptions.StoreUnavailable
+        if fault == "late":
+            self.late.append(apply)
+            raise exceptions.StoreTimeout
+        result = apply()
+        if fault == "lost":
+            raise exceptions.StoreTimeout
+        return result
+
+    def _page(self, page):
+        rows = tuple(models.TableRow(**row) for row in page["rows"])
+        return models.TablePage(rows, page["version"], self.now_s)
+
+
+class MemoryObjects:
+    """Object store that is down while `down` is set."""
+
+    def __init__(self):
+        self.contents = {}
+        self.down = False
+
+    def get(self, name):
+        self._check()
+        return self.contents.get(name)
+
+    def put(self, name, content):
+        self._check()
+        self.contents[name] = content
+
+    def delete(self, name):
+        self._check()
+        self.contents.pop(name, None)
+
+    def _check(self):
+        if self.down:
+            raise exceptions.StoreUnavailable
