Choose backend servers by own counts, aged reports and signs of leaving

Cause: health and load reports lag and mislead, and all hosts see the same ones at the same moment.

Change: a report only reorders the choice and loses weight within 3 s; own requests at work, own failed attempts and signs of leaving exclude. Power of two choices. Each source keeps its own last word, by the order of its words; leaving by any source counts until that source takes it back, the row registers anew, or the process has been seen not listening since. Ejection returns exponentially, one attempt at a time. Subsets by rendezvous hashing, as large as the connections of backend servers allow.

Ruled out: the least loaded by report (all 25 hosts on the one that reports itself idle); the newest word of any source (a lagging health report undoes a drain); division of connections by the mean number of hosts (random subsets exceed 650 connections at 550 hosts).

--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,340 @@
+import collections
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from banyanshed import backends
+from banyanshed import models
+from banyanshed import requests
+from banyanshed import rows
+
+LIVE = models.BackendState.LIVE
+LEAVING = models.BackendState.LEAVING
+ANSWER = requests.Answer(200, {}, b"")
+LOST = requests.AttemptFailure(models.Ran.UNKNOWN, "connection_lost")
+SHED = requests.AttemptFailure(models.Ran.NO, "backend_refused")
+
+
+def row(name, slots=3, state=LIVE, connections=650, port=1):
+    return rows.BackendRow(
+        service="board",
+        backend=name,
+        region="sask",
+        zone="a",
+        address=f"127.0.0.1:{port}",
+        slots=slots,
+        connections=connections,
+        state=state,
+    )
+
+
+def make(names="abcd", host="h1", now_s=0.0, **columns):
+    known = backends.Backends(models.HostId(host), random.Random(host))
+    known.configure(now_s, [row(name, **columns) for name in names], 1)
+    return known
+
+
+def choose(known, now_s, exclude=frozenset()):
+    return known.choose(now_s, "board", "sask", exclude)
+
+
+def finish(known, attempt, now_s, result=ANSWER):
+    known.handle(backends.AttemptFinished(attempt, result), now_s)
+
+
+def occupied(known):
+    return {name: b.in_flight for (_, name), b in known.known.items()}
+
+
+NAMES = st.sampled_from("abc")
+LAG_S = st.floats(0, 5)
+
+
+class BackendsMachine(stateful.RuleBasedStateMachine):
+    """Reports lag and contradict each other; a model keeps who is leaving."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 100.0
+        self.version = 1
+        self.rows = {name: row(name) for name in "abc"}
+        self.known = make("abc", now_s=self.now_s)
+        self.words = {name: {} for name in "abc"}
+        self.refused_s = dict.fromkeys("abc", 0.0)
+        self.attempts = []
+
+    def say(self, name, sign, state, order):
+        words = self.words.get(name)
+        if words is not None and order > words.get(sign, (LIVE, 0))[1]:
+            words[sign] = (state, order)
+
+    def is_leaving(self, name):
+        return any(state is LEAVING for state, _ in self.words[name].values())
+
+    @stateful.rule(seconds=st.floats(0.01, 20))
+    def pass_time(self, seconds):
+        self.now_s += seconds
+
+    @stateful.rule(exclude=st.frozensets(NAMES, max_size=2))
+    def choose_one(self, exclude):
+        before = occupied(self.known)
+        attempt = choose(self.known, self.now_s, exclude)
+        usable = [
+            name
+            for name in self.rows
+            if not self.is_leaving(name)
+            and name not in exclude
+            and before[name] < self.rows[name].slots
+        ]
+        if attempt is None:
+            healthy_but_full = any(
+                not self.is_leaving(name)
+                and name not in exclude
+                and not self.known.known["board", name].returning
+                and before[name] >= self.rows[name].slots
+                for name in self.rows
+            )
+            assert not usable or healthy_but_full
+            return
+        assert attempt.target.backend in usable
+        self.attempts.append(attempt)
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(
+        data=st.data(),
+        result=st.sampled_from([ANSWER, LOST, LOST, SHED]),
+        leaving=st.booleans(),
+    )
+    def finish_one(self, data, result, leaving):
+        index = data.draw(st.integers(0, len(self.attempts) - 1))
+        attempt = self.attempts.pop(index)
+        name = attempt.target.backend
+        known = self.known.known.get(("board", name))
+        same = known and known.registration == attempt.registration
+        if leaving:
+            result = requests.Answer(200, {}, b"", leaving=True)
+        finish(self.known, attempt, self.now_s, result)
+        if same and leaving:
+            self.say(name, "answer", LEAVING, self.now_s)
+
+    @stateful.rule(
+        name=NAMES,
+        state=st.sampled_from([LIVE, LEAVING, None]),
+        refused=st.booleans(),
+        lag_s=LAG_S,
+    )
+    def report_health(self, name, state, refused, lag_s):
+        asked_s = self.now_s - lag_s
+        state = None if refused else state
+        event = backends.HealthReported("board", name, state, refused, asked_s)
+        self.known.handle(event, self.now_s)
+        if name not in self.rows:
+            return
+        if refused:
+            self.refused_s[name] = max(self.refused_s[name], asked_s)
+        if state is not None:
+            self.say(name, "health", state, asked_s)
+        said = self.words[name].get("answer", (LIVE, 0))
+        if state is LIVE and said[1] < self.refused_s[name] < asked_s:
+            self.words[name].pop("answer", None)
+
+    @stateful.rule(
+        name=NAMES,
+        sign=st.sampled_from([backends.Sign.DRAIN, backends.Sign.HOST_LIST]),
+        state=st.sampled_from([LIVE, LEAVING]),
+        lag_s=LAG_S,
+    )
+    def report_sign(self, name, sign, state, lag_s):
+        order = self.now_s - lag_s
+        event = backends.SignReported("board", name, sign, state, order)
+        self.known.handle(event, self.now_s)
+        self.say(name, sign, state, order)
+
+    @stateful.rule(
+        name=NAMES,
+        count=st.integers(0, 9),
+        slots=st.integers(0, 9),
+        lag_s=LAG_S,
+    )
+    def report_load(self, name, count, slots, lag_s):
+        event = backends.LoadReported(
+            "board", name, count, slots, self.now_s - lag_s
+        )
+        self.known.handle(event, self.now_s)
+
+    @stateful.rule(
+        name=NAMES,
+        state=st.sampled_from([LIVE, LEAVING]),
+        slots=st.integers(1, 4),
+        port=st.sampled_from([1, 1, 2]),
+        present=st.sampled_from([True, True, True, False]),
+    )
+    def edit_row(self, name, state, slots, port, present):
+        self.version += 1
+        before = self.rows.pop(name, None)
+        if not present:
+            self.words.pop(name, None)
+        else:
+            self.rows[name] = row(name, slots, state, port=port)
+            if before is None or before.address != self.rows[name].address:
+                self.words[name] = {}
+                self.refused_s[name] = 0.0
+        self.known.configure(self.now_s, self.rows.values(), self.version)
+        for other, kept in self.rows.items():
+            self.say(other, "config", kept.state, self.version)
+
+    @stateful.invariant()
+    def slots_are_counted_exactly(self):
+        held = collections.Counter(
+            (a.target.backend, a.registration) for a in self.attempts
+        )
+        for (_, name), known in self.known.known.items():
+            assert known.in_flight == held[name, known.registration]
+
+
+TestBackendsMachine = BackendsMachine.TestCase
+TestBackendsMachine.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40
+)
+TestBackendsMachine = pytest.mark.invariant("leaving-backend")(
+    TestBackendsMachine
+)
+
+
+@pytest.mark.invariant("leaving-backend")
+def test_lagging_signs_do_not_undo_leaving_until_it_restarts():
+    known = make("a")
+    old = [choose(known, 1.0), choose(known, 1.0)]
+    leaving = requests.AttemptFailure(models.Ran.NO, "backend_refused", True)
+    finish(known, old[0], 2.0, leaving)
+    finish(known, old[1], 3.0)
+    health = backends.HealthReported("board", "a", LIVE, False, 4.0)
+    known.handle(health, 4.0)
+    known.configure(5.0, [row("a")], 9)
+    assert choose(known, 6.0) is None
+    refused = backends.HealthReported("board", "a", None, True, 7.0)
+    known.handle(refused, 7.0)
+    known.handle(health, 7.5)
+    assert choose(known, 8.0) is None
+    back = backends.HealthReported("board", "a", LIVE, False, 8.5)
+    known.handle(back, 8.6)
+    assert choose(known, 9.0) is not None
+
+
+def test_failing_backend_is_ejected_longer_each_time_and_tried_alone():
+    known = make("ab")
+    bad = known.known["board", "a"]
+    now_s, lengths = 0.0, []
+    for _ in range(8):
+        while not bad.ejected(now_s):
+            attempt = choose(known, now_s, frozenset("b"))
+            if bad.returning:
+                assert choose(known, now_s) != attempt
+                assert occupied(known)["a"] == 1
+            finish(known, attempt, now_s, LOST)
+        lengths.append(bad.ejected_until_s - now_s)
+        assert choose(known, now_s).target.backend == "b"
+        for key in known.known:
+            known.known[key].in_flight = 0
+        now_s = bad.ejected_until_s
+    expected = [min(60, 2**n) for n in range(8)]
+    for length, middle in zip(lengths, expected, strict=True):
+        assert 0.74 * middle < length < 1.26 * middle
+    attempt = choose(known, now_s, frozenset("b"))
+    finish(known, attempt, now_s)
+    assert not bad.returning
+    assert bad.load(now_s) > known.known["board", "b"].load(now_s)
+
+
+def test_common_failures_eject_at_most_half():
+    known = make("abcd")
+    for step in range(100):
+        attempt = choose(known, step / 100)
+        finish(known, attempt, step / 100, LOST)
+    assert sum(b.returning for b in known.known.values()) == 2
+
+
+def test_blame_falls_on_the_backend_server_only_for_its_own_failures():
+    late = requests.AttemptFailure(models.Ran.UNKNOWN, "deadline")
+    unsent = requests.AttemptFailure(models.Ran.NO, "not_sendable")
+    classify = backends.classify
+    assert classify(late, 0.2) is backends.Outcome.NEUTRAL
+    assert classify(late, 2.0) is backends.Outcome.FAILED
+    assert classify(unsent, 0.0) is backends.Outcome.NEUTRAL
+    assert classify(LOST, 0.0) is backends.Outcome.FAILED
+    assert classify(SHED, 0.0) is backends.Outcome.SHED
+    for status, outcome in [(404, "worked"), (500, "failed"), (503, "shed")]:
+        answer = requests.Answer(status, {}, b"")
+        assert classify(answer, 0).value == outcome
+
+
+@pytest.mark.parametrize("lag_s", [0.0, 1.0, 10.0])
+def test_one_misleading_report_does_not_herd_hosts(lag_s):
+    names = "abcdefgh"
+    got = collections.Counter()
+    for number in range(25):
+        known = make(names, host=f"h{number}", slots=4)
+        for name in names:
+            load = 0 if name == "a" else 4
+            event = backends.LoadReported("board", name, load, 4, 10.0)
+            known.handle(event, 10.0 + lag_s)
+        for _ in range(2):
+            got[choose(known, 10.0 + lag_s).target.backend] += 1
+    # An even share is 6.25 of 50; all to the idle one would be 50.
+    assert got["a"] <= 25
+    assert len(got) >= 6
+
+
+def test_cold_backend_gets_less_until_it_is_warm():
+    known = make("ab", slots=100)
+    known.configure(10.0, [row(name, slots=100) for name in "abc"], 2)
+
+    def share(now_s):
+        attempts = [choose(known, now_s) for _ in range(60)]
+        for attempt in attempts:
+            finish(known, attempt, now_s)
+        return sum(a.target.backend == "c" for a in attempts)
+
+    assert share(10.0) < 8
+    assert 15 < share(21.0) < 25
+
+
+@pytest.mark.parametrize(
+    ("hosts", "count", "connections"),
+    [
+        (25, 14, 650),
+        (25, 12, 800),
+        (550, 14, 800),
+        (550, 18, 650),
+        (550, 2, 650),
+    ],
+)
+def test_subsets_keep_connections_of_backend_servers(hosts, count, connections):
+    names = [f"b{number}" for number in range(count)]
+    used = collections.Counter()
+    for number in range(hosts):
+        known = make(names, host=f"h{number}", connections=connections)
+        known.set_hosts(hosts)
+        subset = known.subset("board", "sask")
+        most = known.pools["board", "sask"].plan.connections
+        assert len(subset) >= min(count, backends.MIN_SUBSET)
+        assert most >= backends.MIN_CONNECTIONS or len(subset) == count < 4
+        used.update({b.row.backend: min(most, 9) for b in subset})
+        if number == 0:
+            others = [b.row.backend for b in subset[1:]]
+            gone = subset[0].row.backend
+            sign = backends.SignReported(
+                "board", gone, backends.Sign.DRAIN, LEAVING, 1.0
+            )
+            known.handle(sign, 1.0)
+            after = [b.row.backend for b in known.subset("board", "sask")]
+            assert gone not in after
+            # Without its first, a subset keeps the rest that still fits.
+            size = min(len(after), len(others))
+            assert after[:size] == others[:size]
+    assert len(used) == count
+    assert max(used.values()) <= connections
+    assert max(used.values()) <= 1.6 * min(used.values())
