--- /dev/null
+++ b/src/banyanshed/retries.py
@@ -0,0 +1,164 @@
+"""Whether a failed attempt may be repeated, under a budget."""
+
+import dataclasses
+import random
+
+from banyanshed import models
+from banyanshed import requests
+
+BUDGET_SHARE = 0.1
+BUDGET_RESERVE = 10.0
+MAX_ATTEMPTS = 3
+BACKOFF_S = 0.02
+BACKOFF_FACTOR = 2.0
+MIN_TIME_LEFT_S = 0.05
+RETRY_AFTER_S = 1.0
+
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+
+class RetryBudget:
+    """Allows retries up to a share of recent requests.
+
+    Attributes:
+        tokens: Retries allowed now; a share of each request up to a reserve.
+    """
+
+    def __init__(
+        self, share: float = BUDGET_SHARE, reserve: float = BUDGET_RESERVE
+    ):
+        """Starts with a full reserve of retries."""
+        self.share = share
+        self.reserve = reserve
+        self.tokens = reserve
+
+    def record_request(self) -> None:
+        """Counts a request that is no retry."""
+        self.tokens = min(self.reserve, self.tokens + self.share)
+
+    def spend(self) -> bool:
+        """Takes a retry; false when the budget is used up."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+@dataclasses.dataclass
+class History:
+    """Failed attempts of one request.
+
+    Attributes:
+        attempts: How many failed.
+        ran: NO while no attempt can have been executed.
+        failed: Backend servers not to use again.
+        last_code: Code of the last failure.
+    """
+
+    attempts: int = 0
+    ran: models.Ran = models.Ran.NO
+    failed: frozenset[models.BackendId] = frozenset()
+    last_code: str = ""
+
+    def record(
+        self, backend: models.BackendId, failure: requests.AttemptFailure
+    ) -> None:
+        """Adds a failed attempt."""
+        self.attempts += 1
+        self.failed |= {backend}
+        self.last_code = failure.code
+        if failure.ran is models.Ran.UNKNOWN:
+            self.ran = models.Ran.UNKNOWN
+
+
+@dataclasses.dataclass(frozen=True)
+class Retry:
+    """The request may be sent again.
+
+    Attributes:
+        delay_s: Wait before.
+        exclude: Backend servers not to use.
+    """
+
+    delay_s: float
+    exclude: frozenset[models.BackendId]
+
+
+def decide(
+    request: requests.CallerRequest,
+    history: History,
+    failure: requests.AttemptFailure,
+    time_left_s: float,
+    budget: RetryBudget,
+    rng: random.Random,
+) -> Retry | models.Refusal:
+    """Returns a retry, or the final refusal.
+
+    Args:
+        request: The request.
+        history: Its failed attempts, the last one included.
+        failure: The last failure.
+        time_left_s: Time left of its deadline, in seconds.
+        budget: Budget of this host's retries.
+        rng: Source of the jitter.
+    """
+    if not may_repeat(request, history, failure):
+        return refusal(history, failure)
+    delay_s = 0.0
+    if history.attempts > 1:
+        longest_s = BACKOFF_S * BACKOFF_FACTOR ** (history.attempts - 1)
+        delay_s = rng.uniform(0, longest_s)
+    if time_left_s - delay_s < MIN_TIME_LEFT_S or not budget.spend():
+        return refusal(history, failure)
+    return Retry(delay_s, history.failed)
+
+
+def may_repeat(
+    request: requests.CallerRequest,
+    history: History,
+    failure: requests.AttemptFailure,
+) -> bool:
+    """Returns whether a repeat executes no non-idempotent work twice.
+
+    An idempotency key does not make a repeat safe here: nothing says that
+    the backend server knows the key. Repeats of the caller go through the
+    ledger of claims.
+    """
+    if history.attempts >= MAX_ATTEMPTS or failure.code == "not_sendable":
+        return False
+    if request.method in SAFE_METHODS:
+        return True
+    return history.ran is models.Ran.NO
+
+
+def refusal(
+    history: History, failure: requests.AttemptFailure
+) -> models.Refusal:
+    """Returns the final answer to a request whose attempts failed."""
+    if failure.code == "not_sendable":
+        return models.Refusal(
+            400,
+            "not_sendable",
+            history.ran,
+            None,
+            "The request's path or headers can't be sent on.",
+        )
+    if history.ran is models.Ran.NO:
+        retry_after_s = failure.retry_after_s
+        if retry_after_s is None:
+            retry_after_s = RETRY_AFTER_S
+        return models.Refusal(
+            503,
+            failure.code,
+            models.Ran.NO,
+            retry_after_s,
+            "No backend server took the request.",
+        )
+    status = 504 if failure.code == "deadline" else 502
+    return models.Refusal(
+        status,
+        failure.code,
+        models.Ran.UNKNOWN,
+        None,
+        "No whole answer came; the request may have been executed.",
+    )
