Let requests wait for capacity, bounded and in turn

Cause: with every region near its limit a short wait often finds a unit; a long one costs the caller the time to try elsewhere.

Change: a bounded queue per host: interactive before background work, every eighth turn background first, tenants in turn, services without room passed over. A wait is at most 0.5 s (background 5 s) and a quarter of the time left; then comes the final refusal, with a jittered time to come back.

Ruled out: one queue per tenant and service without a common bound; waiting until near the deadline.

Proofs, each on a copy without its mechanism: no turns, no background turn, no bound of the wait, one full service holding up all, no bound of a tenant's waiters or of all: 1 or 2 tests fail each.

--- /dev/null
+++ b/src/banyanshed/waiting.py
@@ -0,0 +1,283 @@
+"""Bounded queue of requests that wait for capacity.
+
+Interactive requests go first, with a share of the turns for background work;
+tenants take turns. A request that can't be served soon is refused at once or
+after a short wait, never near the end of its deadline.
+"""
+
+import collections
+from collections.abc import Callable, Iterator
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import Generic, TypeVar
+
+from banyanshed import models
+
+MAX_WAITING = 256
+MAX_WAITING_PER_TENANT = 64
+BACKGROUND_TURN = 8
+"""One turn in so many is background work's first."""
+
+WAIT_S = {
+    models.Priority.INTERACTIVE: 0.5,
+    models.Priority.BACKGROUND: 5.0,
+}
+WAIT_SHARE = 0.25
+"""Share of the time left that a request may wait."""
+
+RETRY_AFTER_S = {
+    models.Priority.INTERACTIVE: 1.0,
+    models.Priority.BACKGROUND: 30.0,
+}
+RETRY_JITTER = 0.5
+
+P = TypeVar("P")
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiter:
+    """A request that waits.
+
+    Attributes:
+        ticket: Handle of the request; unique in the queue.
+        service: Service asked for.
+        tenant: Its tenant; None on routes open to all.
+        priority: Interactive or background work.
+        deadline_at_s: Monotonic time at which its deadline ends.
+    """
+
+    ticket: str
+    service: models.ServiceId
+    tenant: models.TenantId | None
+    priority: models.Priority
+    deadline_at_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class GivenUp:
+    """A waiter that gets its final answer now."""
+
+    waiter: Waiter
+    refusal: models.Refusal
+
+
+@dataclasses.dataclass(frozen=True)
+class Served(Generic[P]):
+    """A waiter that was placed, and what it got."""
+
+    waiter: Waiter
+    placed: P
+
+
+class Line:
+    """Waiters of one service and priority, by tenant.
+
+    Attributes:
+        tenants: Waiters of each tenant, oldest first; the tenant whose turn
+            is next comes first.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.tenants: collections.OrderedDict[
+            models.TenantId | None, collections.OrderedDict[str, Waiter]
+        ] = collections.OrderedDict()
+
+    def add(self, waiter: Waiter) -> None:
+        """Puts a waiter behind the others of its tenant."""
+        queue = self.tenants.setdefault(
+            waiter.tenant, collections.OrderedDict()
+        )
+        queue[waiter.ticket] = waiter
+
+    def head(self) -> Waiter:
+        """Returns the waiter whose turn it is."""
+        queue = next(iter(self.tenants.values()))
+        return next(iter(queue.values()))
+
+    def remove(self, waiter: Waiter, *, served: bool) -> None:
+        """Takes a waiter out; a served tenant's next turn comes last."""
+        queue = self.tenants[waiter.tenant]
+        del queue[waiter.ticket]
+        if not queue:
+            del self.tenants[waiter.tenant]
+        elif served:
+            self.tenants.move_to_end(waiter.tenant)
+
+
+class WaitQueue:
+    """All waiting requests of a host.
+
+    Attributes:
+        waiters: Waiters by ticket.
+        lines: Lines by priority and service; the service whose turn is next
+            comes first.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        limit: int = MAX_WAITING,
+        tenant_limit: int = MAX_WAITING_PER_TENANT,
+    ):
+        """Starts empty.
+
+        Args:
+            rng: Source of the jitter of times to come back.
+            limit: Most waiters.
+            tenant_limit: Most waiters of one tenant.
+        """
+        self.rng = rng
+        self.limit = limit
+        self.tenant_limit = tenant_limit
+        self.waiters: dict[str, Waiter] = {}
+        self.per_tenant: collections.Counter[models.TenantId | None] = (
+            collections.Counter()
+        )
+        self.lines: dict[
+            models.Priority,
+            collections.OrderedDict[models.ServiceId, Line],
+        ] = {
+            priority: collections.OrderedDict() for priority in models.Priority
+        }
+        self.expiries: list[tuple[float, int, Waiter]] = []
+        self.sequence = itertools.count()
+        self.turns = 0
+
+    def __len__(self) -> int:
+        """Returns the number of waiters."""
+        return len(self.waiters)
+
+    def add(self, now_s: float, waiter: Waiter) -> models.Refusal | None:
+        """Lets a request wait, or returns its final refusal at once."""
+        if waiter.deadline_at_s <= now_s:
+            return self.refusal(waiter)
+        if len(self.waiters) >= self.limit:
+            return self.refusal(waiter)
+        if self.per_tenant[waiter.tenant] >= self.tenant_limit:
+            return self.refusal(waiter)
+        wait_s = min(
+            WAIT_S[waiter.priority],
+            WAIT_SHARE * (waiter.deadline_at_s - now_s),
+        )
+        self.waiters[waiter.ticket] = waiter
+        self.per_tenant[waiter.tenant] += 1
+        lines = self.lines[waiter.priority]
+        lines.setdefault(waiter.service, Line()).add(waiter)
+        heapq.heappush(
+            self.expiries, (now_s + wait_s, next(self.sequence), waiter)
+        )
+        return None
+
+    def serve(
+        self, now_s: float, place: Callable[[Waiter], P | None]
+    ) -> Iterator[Served[P]]:
+        """Places waiters in turn until no service has room for its next one.
+
+        Args:
+            now_s: Monotonic time.
+            place: Tries to place a waiter; None when there is no room.
+
+        Yields:
+            Each waiter placed, which waits no longer.
+        """
+        full: dict[models.Priority, set[models.ServiceId]] = {
+            priority: set() for priority in models.Priority
+        }
+        while True:
+            served = self._serve_one(place, full)
+            if served is None:
+                return
+            yield served
+
+    def _serve_one(
+        self,
+        place: Callable[[Waiter], P | None],
+        full: dict[models.Priority, set[models.ServiceId]],
+    ) -> Served[P] | None:
+        for priority in self._priorities():
+            for service, line in list(self.lines[priority].items()):
+                if service in full[priority]:
+                    continue
+                waiter = line.head()
+                placed = place(waiter)
+                if placed is None:
+                    full[priority].add(service)
+                    continue
+                self.turns += 1
+                self._remove(waiter, served=True)
+                return Served(waiter, placed)
+        return None
+
+    def _priorities(self) -> tuple[models.Priority, ...]:
+        interactive = models.Priority.INTERACTIVE
+        background = models.Priority.BACKGROUND
+        if self.turns % BACKGROUND_TURN == BACKGROUND_TURN - 1:
+            return (background, interactive)
+        return (interactive, background)
+
+    def _remove(self, waiter: Waiter, *, served: bool) -> None:
+        del self.waiters[waiter.ticket]
+        self.per_tenant[waiter.tenant] -= 1
+        if not self.per_tenant[waiter.tenant]:
+            del self.per_tenant[waiter.tenant]
+        lines = self.lines[waiter.priority]
+        line = lines[waiter.service]
+        line.remove(waiter, served=served)
+        if not line.tenants:
+            del lines[waiter.service]
+        elif served:
+            lines.move_to_end(waiter.service)
+
+    def cancel(self, ticket: str) -> None:
+        """Takes a waiter out whose caller has gone; unknown ones pass."""
+        waiter = self.waiters.get(ticket)
+        if waiter is not None:
+            self._remove(waiter, served=False)
+
+    def expire(self, now_s: float) -> list[GivenUp]:
+        """Takes out the waiters that have waited long enough."""
+        given_up = []
+        while self.expiries and self.expiries[0][0] <= now_s:
+            _, _, waiter = heapq.heappop(self.expiries)
+            if self.waiters.get(waiter.ticket) is not waiter:
+                continue
+            self._remove(waiter, served=False)
+            given_up.append(GivenUp(waiter, self.refusal(waiter)))
+        return given_up
+
+    def give_up_all(self) -> list[GivenUp]:
+        """Takes out all waiters, for a planned stop."""
+        given_up = []
+        for waiter in list(self.waiters.values()):
+            self._remove(waiter, served=False)
+            given_up.append(GivenUp(waiter, self.refusal(waiter)))
+        return given_up
+
+    def next_expiry_s(self) -> float | None:
+        """Returns when `expire` is due next; None while nobody waits."""
+        while self.expiries:
+            expiry_s, _, waiter = self.expiries[0]
+            if self.waiters.get(waiter.ticket) is waiter:
+                return expiry_s
+            heapq.heappop(self.expiries)
+        return None
+
+    def must_wait(
+        self, service: models.ServiceId, priority: models.Priority
+    ) -> bool:
+        """Returns whether a new request has others of its line before it."""
+        return service in self.lines[priority]
+
+    def refusal(self, waiter: Waiter) -> models.Refusal:
+        """Returns the final answer to a request that can't be placed."""
+        spread = 1 + self.rng.uniform(0, RETRY_JITTER)
+        return models.Refusal(
+            503,
+            "no_capacity",
+            models.Ran.NO,
+            RETRY_AFTER_S[waiter.priority] * spread,
+            "No region has capacity for the request now.",
+        )
