Carry requests from admission to their final answer

Cause: keys, shares, routing, retries and waiting decided apart; nothing held one request's state from arrival to its answer. Ruled out: deciding under a lock in the pool threads (the state would have several owners). Change: traffic.Traffic, a core without I/O, takes events and replies with decisions; a request whose lease lapsed before it was sent is charged anew.

--- a/src/banyanshed/serving.py
+++ b/src/banyanshed/serving.py
@@ -4,9 +4,9 @@
 from typing import Protocol
 
 from banyanshed import bridge as bridges
+from banyanshed import claims
 from banyanshed import events
 from banyanshed import models
-from banyanshed import problems
 from banyanshed import requests
 from banyanshed import web
 
@@ -22,15 +22,12 @@
         target: requests.Target,
         tenant: models.TenantId | None,
         time_left_s: float,
+        *,
         answer_bytes: int,
     ) -> requests.Answer | requests.AttemptFailure:
         """Sends a request once."""
 
 
-class Claim(Protocol):
-    """A request that this host alone may run."""
-
-
 class Claims(Protocol):
     """Ledger of requests that carry an idempotency key."""
 
@@ -39,13 +36,13 @@
         tenant: models.TenantId | None,
         request: requests.CallerRequest,
         time_left_s: float,
-    ) -> Claim | requests.Answer | models.Refusal:
+    ) -> claims.Claim | requests.Answer | models.Refusal:
         """Reserves a request, or tells what became of it."""
 
-    def record(self, claim: Claim, answer: requests.Answer) -> None:
+    def record(self, claim: claims.Claim, answer: requests.Answer) -> None:
         """Records the answer for repeats."""
 
-    def release(self, claim: Claim) -> None:
+    def release(self, claim: claims.Claim) -> None:
         """Gives up a claim of a request that surely did not run."""
 
 
@@ -53,12 +50,12 @@
     """Carries requests through the core, the ledger and the transport."""
 
     def __init__(
-        self, bridge: bridges.LoopBridge, sender: Sender, claims: Claims
+        self, bridge: bridges.LoopBridge, sender: Sender, ledger: Claims
     ):
         """Takes the way to the core, the transport and the ledger."""
         self.bridge = bridge
         self.sender = sender
-        self.claims = claims
+        self.ledger = ledger
 
     def serve(
         self, request: requests.CallerRequest, arrived_s: float
@@ -85,7 +82,7 @@
         ended = events.RequestEnded(admitted.ticket)
         time_left_s = admitted.deadline_at_s - time.monotonic()
         try:
-            claim = self.claims.claim(admitted.tenant, request, time_left_s)
+            claim = self.ledger.claim(admitted.tenant, request, time_left_s)
         except BaseException:
             self.bridge.tell(ended)
             raise
@@ -104,13 +101,13 @@
         return result
 
     def _settle(
-        self, claim: Claim, result: requests.Answer | models.Refusal
+        self, claim: claims.Claim, result: requests.Answer | models.Refusal
     ) -> None:
         if isinstance(result, requests.Answer):
-            self.claims.record(claim, result)
+            self.ledger.record(claim, result)
             return
         if result.ran is models.Ran.NO:
-            self.claims.release(claim)
+            self.ledger.release(claim)
 
     def _attempt(
         self, request: requests.CallerRequest, placed: events.Placed
@@ -152,28 +149,9 @@
                 placed.target,
                 admitted.tenant,
                 admitted.deadline_at_s - now_s,
-                admitted.answer_bytes,
+                answer_bytes=admitted.answer_bytes,
             )
         except Exception:  # The core must learn that the unit is free.
             return requests.AttemptFailure(
                 models.Ran.UNKNOWN, "transport_failed"
             )
-
-
-def refuse_failed(failure: requests.AttemptFailure) -> models.Refusal:
-    """Returns the final refusal after an attempt that is not repeated."""
-    if failure.ran is models.Ran.NO:
-        return problems.refuse(
-            503,
-            "backend_unavailable",
-            "No backend server took the request.",
-            failure.retry_after_s or 1.0,
-        )
-    return problems.refuse(
-        502,
-        failure.code,
-        "The backend server's whole answer did not arrive; "
-        "the request may have run.",
-        failure.retry_after_s,
-        models.Ran.UNKNOWN,
-    )
--- /dev/null
+++ b/src/banyanshed/traffic.py
@@ -0,0 +1,520 @@
+"""Requests at work on one host: admission, placement, retries, waiting.
+
+No input or output: events come in with the time of a monotonic clock, and
+decisions go to the reply functions that the events carry.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import functools
+import heapq
+import itertools
+import random
+from typing import Any
+
+from banyanshed import backends
+from banyanshed import configuration
+from banyanshed import events
+from banyanshed import forwarding
+from banyanshed import freshness
+from banyanshed import leases
+from banyanshed import models
+from banyanshed import problems
+from banyanshed import requests
+from banyanshed import retries
+from banyanshed import routing
+from banyanshed import rows
+from banyanshed import serving
+from banyanshed import settings as settings_module
+from banyanshed import waiting
+
+HEAD_BYTES = 512
+"""Allowance for the start line and the headers that a host adds."""
+
+STALE_RETRY_S = 2.0
+NO_SHARE_RETRY_S = 1.0
+LEAVING_RETRY_S = 0.5
+PROBE_INTERVAL_S = 2.0
+PROBE_JITTER = 0.1
+
+Placement = routing.Placement[leases.Unit, leases.Reservation]
+
+
+@dataclasses.dataclass
+class Serving:
+    """One request at work.
+
+    Attributes:
+        request: The request.
+        service: Its service's row when it was admitted.
+        admitted: Its admission.
+        history: Failed attempts.
+        placement: What the attempt at work holds.
+        reply: Receives the decision that the caller's thread waits for.
+        failure: The last failure.
+    """
+
+    request: requests.CallerRequest
+    service: rows.ServiceRow
+    admitted: events.Admitted
+    history: retries.History = dataclasses.field(
+        default_factory=retries.History
+    )
+    placement: Placement | None = None
+    reply: events.Reply | None = None
+    failure: requests.AttemptFailure | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """A question for a backend server's health and load."""
+
+    service: models.ServiceId
+    backend: models.BackendId
+    address: str
+
+
+class Traffic:
+    """All requests of one host; owned by the loop's thread."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        config: configuration.Configuration,
+        shares: leases.ShareHolder,
+        fresh: freshness.Freshness,
+        rng: random.Random,
+    ):
+        """Takes the parts that decide with it."""
+        self.settings = settings
+        self.config = config
+        self.shares = shares
+        self.freshness = fresh
+        self.rng = rng
+        self.closed = False
+        self.serving: dict[str, Serving] = {}
+        self.backends = backends.Backends(settings.host_id(), rng)
+        self.router: routing.Router[leases.Unit, leases.Reservation] = (
+            routing.Router(
+                models.RegionId(settings.region), shares, self.backends
+            )
+        )
+        self.budget = retries.RetryBudget()
+        self.queue = waiting.WaitQueue(rng, settings.waiting_limit)
+        self.delayed: list[tuple[float, int, str]] = []
+        self.sequence = itertools.count()
+        self.words = itertools.count(1)
+        self.probe_due_s: dict[tuple[str, str], float] = {}
+        self.retried = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have no final answer yet."""
+        return len(self.serving)
+
+    def close(self) -> None:
+        """Refuses further requests; those at work go on."""
+        self.closed = True
+
+    def on_config(self, now_s: float, drained: frozenset[str]) -> None:
+        """Takes a new configuration.
+
+        Args:
+            now_s: Monotonic time.
+            drained: Keys of placements and backend servers being drained.
+        """
+        self.router.configure(
+            self.config.regions.values(),
+            [
+                placement
+                for placements in self.config.placements.values()
+                for placement in placements.values()
+            ],
+        )
+        backend_rows = [
+            row
+            for servers in self.config.backends.values()
+            for row in servers.values()
+        ]
+        self.backends.configure(now_s, backend_rows, self.config.version)
+        for row in backend_rows:
+            leaving = rows.row_key(row) in drained
+            self._report_drain(now_s, row, leaving)
+
+    def _report_drain(
+        self, now_s: float, row: rows.BackendRow, leaving: bool
+    ) -> None:
+        state = models.BackendState.LIVE
+        if leaving:
+            state = models.BackendState.LEAVING
+        report = backends.SignReported(
+            models.ServiceId(row.service),
+            models.BackendId(row.backend),
+            backends.Sign.DRAIN,
+            state,
+            next(self.words),
+        )
+        self.backends.handle(report, now_s)
+
+    @functools.singledispatchmethod
+    def handle(self, event: Any, now_s: float) -> None:
+        """Takes an event, at a monotonic time."""
+        raise TypeError(type(event).__name__)
+
+    # Admission.
+
+    @handle.register
+    def _on_arrived(self, event: events.RequestArrived, now_s: float) -> None:
+        admitted = self._admit(event, now_s)
+        if isinstance(admitted, models.Refusal):
+            event.reply(admitted)
+            return
+        service = self.config.services[event.request.service]
+        serving_now = Serving(event.request, service, admitted)
+        self.serving[admitted.ticket] = serving_now
+        self.budget.record_request()
+        if not event.place_at_once:
+            event.reply(admitted)
+            return
+        serving_now.reply = event.reply
+        self._place_or_wait(serving_now, now_s)
+
+    def _admit(
+        self, event: events.RequestArrived, now_s: float
+    ) -> events.Admitted | models.Refusal:
+        request = event.request
+        service = self.config.services.get(request.service)
+        if service is None:
+            return problems.refuse(
+                404, "no_such_service", "There is no such service."
+            )
+        if self.closed:
+            return problems.refuse(
+                503,
+                "leaving",
+                "This host is leaving; look up another.",
+                LEAVING_RETRY_S,
+            )
+        tenant = self._authenticate(service, request, now_s)
+        if isinstance(tenant, models.Refusal):
+            return tenant
+        refusal = self._charge(tenant, now_s)
+        if refusal is not None:
+            return refusal
+        longest_s = min(request.deadline_s, service.deadline_s)
+        return events.Admitted(
+            request.request_id,
+            tenant,
+            min(service.answer_bytes, self.settings.answer_limit_bytes),
+            event.arrived_s + longest_s,
+        )
+
+    def _authenticate(
+        self,
+        service: rows.ServiceRow,
+        request: requests.CallerRequest,
+        now_s: float,
+    ) -> models.TenantId | None | models.Refusal:
+        """Returns the tenant of the key; None on routes open to all."""
+        if request.key_digest is None:
+            if service.open_to_all:
+                return None
+            return problems.refuse(
+                401, "no_key", "Send a key as Authorization: Bearer KEY."
+            )
+        if not self.freshness.keys_usable(now_s):
+            return problems.refuse(
+                503,
+                "stale_keys",
+                "This host can't tell which keys are withdrawn; try another.",
+                STALE_RETRY_S,
+            )
+        key = self.config.keys.get(request.key_digest)
+        if key is None:
+            return problems.refuse(401, "bad_key", "The key is not valid.")
+        return models.TenantId(key.tenant)
+
+    def _charge(
+        self, tenant: models.TenantId | None, now_s: float
+    ) -> models.Refusal | None:
+        if tenant is None:
+            return None
+        admission = self.shares.admit(now_s, tenant)
+        if admission.admitted:
+            return None
+        if not self.shares.valid(now_s):
+            return problems.refuse(
+                503,
+                "no_share",
+                "This host holds no share of the limits now; try another.",
+                NO_SHARE_RETRY_S,
+            )
+        return problems.refuse(
+            429,
+            "rate_limited",
+            "The tenant's rate and burst are used up.",
+            admission.retry_after_s,
+        )
+
+    # Placement.
+
+    @handle.register
+    def _on_wanted(self, event: events.PlacementWanted, now_s: float) -> None:
+        serving_now = self.serving[event.ticket]
+        serving_now.reply = event.reply
+        self._place_or_wait(serving_now, now_s)
+
+    def _place_or_wait(self, serving_now: Serving, now_s: float) -> None:
+        free = not self._must_wait(serving_now)
+        if free and self._place(serving_now, now_s):
+            return
+        waiter = waiting.Waiter(
+            serving_now.admitted.ticket,
+            serving_now.request.service,
+            serving_now.admitted.tenant,
+            serving_now.service.priority,
+            serving_now.admitted.deadline_at_s,
+        )
+        refusal = self.queue.add(now_s, waiter)
+        if refusal is not None:
+            self._refuse(serving_now, refusal)
+
+    def _must_wait(self, serving_now: Serving) -> bool:
+        """Returns whether others wait that must not be overtaken."""
+        service = serving_now.request.service
+        if service in self.queue.lines[models.Priority.INTERACTIVE]:
+            return True
+        if serving_now.service.priority is models.Priority.INTERACTIVE:
+            return False
+        return service in self.queue.lines[models.Priority.BACKGROUND]
+
+    def _place(self, serving_now: Serving, now_s: float) -> bool:
+        """Places a request and tells its thread; false when it can't be."""
+        placement = self.router.place(
+            now_s,
+            serving_now.request.service,
+            sent_bytes(serving_now.request),
+            serving_now.admitted.answer_bytes + HEAD_BYTES,
+            serving_now.history.failed,
+        )
+        if isinstance(placement, models.Refusal):
+            return False
+        serving_now.placement = placement
+        self._reply(
+            serving_now,
+            events.Placed(
+                serving_now.admitted,
+                placement.attempt.target,
+                self.shares.valid_until_s,
+            ),
+        )
+        return True
+
+    def _reply(self, serving_now: Serving, decision: events.Decision) -> None:
+        reply = serving_now.reply
+        serving_now.reply = None
+        if reply is not None:
+            reply(decision)
+
+    def _refuse(self, serving_now: Serving, refusal: models.Refusal) -> None:
+        """Ends a request with a refusal that tells what may have run."""
+        if serving_now.failure is not None:
+            refusal = retries.refusal(serving_now.history, serving_now.failure)
+        self.serving.pop(serving_now.admitted.ticket, None)
+        self._reply(serving_now, refusal)
+
+    # Ends of attempts.
+
+    @handle.register
+    def _on_ended(self, event: events.AttemptEnded, now_s: float) -> None:
+        serving_now = self.serving[event.ticket]
+        serving_now.reply = event.reply
+        self._end_attempt(serving_now, event.outcome, now_s)
+        if isinstance(event.outcome, requests.Answer):
+            del self.serving[event.ticket]
+        elif event.outcome.code == serving.LAPSED_CODE:
+            self._admit_again(serving_now, now_s)
+        else:
+            self._retry_or_refuse(serving_now, event.outcome, now_s)
+        self._serve_waiting(now_s)
+
+    @handle.register
+    def _on_request_ended(
+        self, event: events.RequestEnded, now_s: float
+    ) -> None:
+        self.serving.pop(event.ticket, None)
+
+    def _end_attempt(
+        self,
+        serving_now: Serving,
+        outcome: requests.Answer | requests.AttemptFailure,
+        now_s: float,
+    ) -> None:
+        """Gives back what the attempt held and tells the backend's record."""
+        placement = serving_now.placement
+        serving_now.placement = None
+        if placement is None:
+            return
+        sent, received = _used_bytes(serving_now, outcome)
+        self.router.release(now_s, placement, sent, received)
+        lapsed = (
+            isinstance(outcome, requests.AttemptFailure)
+            and outcome.code == serving.LAPSED_CODE
+        )
+        if lapsed:
+            self.backends.handle(
+                backends.AttemptDropped(placement.attempt), now_s
+            )
+            return
+        self.backends.handle(
+            backends.AttemptFinished(placement.attempt, outcome), now_s
+        )
+        if isinstance(outcome, requests.AttemptFailure):
+            backend = placement.attempt.target.backend
+            serving_now.history.record(backend, outcome)
+
+    def _admit_again(self, serving_now: Serving, now_s: float) -> None:
+        """Charges a request anew whose lease lapsed before it was sent."""
+        refusal = self._charge(serving_now.admitted.tenant, now_s)
+        if refusal is not None:
+            self._refuse(serving_now, refusal)
+            return
+        self._place_or_wait(serving_now, now_s)
+
+    def _retry_or_refuse(
+        self,
+        serving_now: Serving,
+        failure: requests.AttemptFailure,
+        now_s: float,
+    ) -> None:
+        serving_now.failure = failure
+        decision = retries.decide(
+            serving_now.request,
+            serving_now.history,
+            failure,
+            serving_now.admitted.deadline_at_s - now_s,
+            self.budget,
+            self.rng,
+        )
+        if isinstance(decision, models.Refusal):
+            self._refuse(serving_now, decision)
+            return
+        self.retried += 1
+        if decision.delay_s == 0:
+            self._place_or_wait(serving_now, now_s)
+            return
+        ticket = serving_now.admitted.ticket
+        due_s = now_s + decision.delay_s
+        heapq.heappush(self.delayed, (due_s, next(self.sequence), ticket))
+
+    # Time.
+
+    def tick(self, now_s: float) -> None:
+        """Gives up waiters that are due and places what can be placed."""
+        for given_up in self.queue.expire(now_s):
+            self._refuse(self.serving[given_up.waiter.ticket], given_up.refusal)
+        while self.delayed and self.delayed[0][0] <= now_s:
+            _, _, ticket = heapq.heappop(self.delayed)
+            self._place_or_wait(self.serving[ticket], now_s)
+        self._serve_waiting(now_s)
+
+    def _serve_waiting(self, now_s: float) -> None:
+        if not self.queue.waiters:
+            return
+
+        def place(waiter: waiting.Waiter) -> bool | None:
+            return self._place(self.serving[waiter.ticket], now_s) or None
+
+        for _ in self.queue.serve(now_s, place):
+            continue
+
+    # Health of backend servers.
+
+    def due_probes(self, now_s: float) -> Iterator[Probe]:
+        """Yields the backend servers to ask for health and load now."""
+        for backend in list(self.backends.probed()):
+            row = backend.row
+            key = (row.service, row.backend)
+            if now_s < self.probe_due_s.get(key, 0.0):
+                continue
+            jitter = self.rng.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
+            self.probe_due_s[key] = now_s + PROBE_INTERVAL_S * jitter
+            yield Probe(
+                models.ServiceId(row.service),
+                models.BackendId(row.backend),
+                row.address,
+            )
+
+    def on_probe(
+        self,
+        now_s: float,
+        sent_s: float,
+        probe: Probe,
+        result: forwarding.ProbeResult,
+    ) -> None:
+        """Takes what a probe sent at `sent_s` found."""
+        self.backends.handle(
+            backends.HealthReported(
+                probe.service,
+                probe.backend,
+                result.state,
+                result.refused,
+                sent_s,
+            ),
+            now_s,
+        )
+        if result.in_flight is None or result.slots is None:
+            return
+        self.backends.handle(
+            backends.LoadReported(
+                probe.service,
+                probe.backend,
+                result.in_flight,
+                result.slots,
+                sent_s,
+            ),
+            now_s,
+        )
+
+    def state(self, now_s: float) -> dict[str, Any]:
+        """Returns the state as JSON data."""
+        return {
+            "closed": self.closed,
+            "in_flight": self.in_flight,
+            "waiting": len(self.queue),
+            "retries": self.retried,
+            "retry_tokens": self.budget.tokens,
+            "backends": [
+                {
+                    "service": service,
+                    "backend": backend_id,
+                    "in_flight": backend.in_flight,
+                    "leaving": backend.leaving,
+                    "ejected": backend.ejected(now_s),
+                }
+                for (service, backend_id), backend in sorted(
+                    self.backends.known.items()
+                )
+            ],
+        }
+
+
+def sent_bytes(request: requests.CallerRequest) -> int:
+    """Returns the bytes that a request takes on a link."""
+    size = HEAD_BYTES + len(request.target) + len(request.body)
+    for name, value in request.headers.items():
+        size += len(name) + len(value) + 4
+    return size
+
+
+def _used_bytes(
+    serving_now: Serving, outcome: requests.Answer | requests.AttemptFailure
+) -> tuple[int, int]:
+    """Returns bytes sent and received; the most possible when unknown."""
+    sent = sent_bytes(serving_now.request)
+    if isinstance(outcome, requests.Answer):
+        received = HEAD_BYTES + len(outcome.body)
+        return sent, received
+    if outcome.ran is models.Ran.NO:
+        return 0, HEAD_BYTES
+    return sent, serving_now.admitted.answer_bytes + HEAD_BYTES
