Run the core as the daemon banyanshed-entry

Cause: the core had no process. Change: entry.Entry joins configuration, fleet, shares and traffic; daemon holds timers, platform threads, peers and CherryPy's server; a planned stop leaves look-ups first, serves for their time to live, ends work at hand, records what is pending and returns its shares.

--- a/src/banyanshed/cli.py
+++ b/src/banyanshed/cli.py
@@ -571,3 +571,7 @@
 def run() -> None:
     """Entry point of the program."""
     sys.exit(main(sys.argv))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/banyanshed/daemon.py
@@ -0,0 +1,457 @@
+"""The daemon `banyanshed-entry`: sockets, timers and threads round the core."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+import concurrent.futures
+import contextlib
+import pathlib
+import random
+import secrets
+import signal
+import sys
+import time
+from typing import Any, TypeVar
+
+from absl import app
+from absl import flags
+import capnp
+
+from banyanshed import bridge as bridges
+from banyanshed import configuration
+from banyanshed import deltas
+from banyanshed import entry as entries
+from banyanshed import exceptions
+from banyanshed import forwarding
+from banyanshed import hostlists
+from banyanshed import leases
+from banyanshed import ledger as ledgers
+from banyanshed import logs
+from banyanshed import models
+from banyanshed import objects
+from banyanshed import operators
+from banyanshed import peering
+from banyanshed import peers
+from banyanshed import requests
+from banyanshed import rows
+from banyanshed import server
+from banyanshed import serving
+from banyanshed import sessions
+from banyanshed import settings as settings_module
+from banyanshed import tables
+from banyanshed import telemetry as telemetry_module
+from banyanshed import web
+
+SETTINGS = flags.DEFINE_string("settings", None, "YAML settings file.")
+
+SHARE_STEP_S = 0.02
+HEARTBEAT_STEP_S = 0.1
+TRAFFIC_STEP_S = 0.02
+HOST_LIST_INTERVAL_S = 2.0
+FLUSH_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+PROBE_THREADS = 4
+IN_FLIGHT_STEP_S = 0.02
+RETURN_TIMEOUT_S = 5.0
+POLL_JITTER = 0.3
+EXIT_BAD_SETTINGS = 2
+
+T = TypeVar("T")
+
+
+class Daemon:
+    """One entry host's process."""
+
+    def __init__(self, settings: settings_module.Settings):
+        """Makes all parts; starts none."""
+        self.settings = settings
+        self.host = settings.host_id()
+        self.rng = random.Random(secrets.randbits(64))
+        self.entry = entries.Entry(settings, self.rng, time.monotonic())
+        self.telemetry = telemetry_module.Telemetry()
+        timeout_s = settings.platform.timeout_s
+        self.table = tables.HttpTable(
+            settings.platform.table_address, timeout_s
+        )
+        self.objects = objects.HttpObjectStore(
+            settings.platform.objects_address, timeout_s
+        )
+        self.host_list = hostlists.HttpHostList(
+            settings.platform.hosts_address, timeout_s
+        )
+        self.ledger = ledgers.Ledger(self.table, self.objects)
+        self.forwarder = forwarding.Forwarder()
+        self.stopping = asyncio.Event()
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    async def run(self) -> None:
+        """Serves until SIGTERM or SIGINT, then stops gracefully."""
+        async with capnp.kj_loop(), contextlib.AsyncExitStack() as exits:
+            await self._start(exits)
+            print(f"listening {self.settings.caller_address}", flush=True)
+            await self.stopping.wait()
+            await self._drain()
+        logs.log("stopped", host=self.settings.host)
+
+    async def _start(self, exits: contextlib.AsyncExitStack) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        self.bridge = bridges.LoopBridge(loop, self._handle)
+        self.platform_pool = exits.enter_context(
+            concurrent.futures.ThreadPoolExecutor(
+                self.settings.platform_threads
+            )
+        )
+        self.probe_pool = exits.enter_context(
+            concurrent.futures.ThreadPoolExecutor(PROBE_THREADS)
+        )
+        for adapter in (self.table, self.objects, self.host_list):
+            exits.callback(adapter.close)
+        exits.enter_context(self.forwarder)
+        await self._start_peers(exits)
+        self._start_timers(exits)
+        await self._await_configuration()
+        self._start_server(exits)
+        logs.log(
+            "started",
+            host=self.settings.host,
+            incarnation=str(self.entry.incarnation),
+        )
+
+    async def _start_peers(self, exits: contextlib.AsyncExitStack) -> None:
+        secret = self.settings.fleet_secret.get_secret_value().encode()
+        self.client = await exits.enter_async_context(
+            peers.PeerClient(self.entry.host, secret, self.rng)
+        )
+        self.peering = peering.Peering(
+            self.entry.gossip,
+            self.client,
+            self,
+            self.entry.shares,
+            time.monotonic,
+        )
+        peer_server = await exits.enter_async_context(
+            peers.PeerServer(self.entry.host, secret, self.peering)
+        )
+        await peer_server.start(self.settings.peer_address)
+        await exits.enter_async_context(self.peering)
+
+    def _start_timers(self, exits: contextlib.AsyncExitStack) -> None:
+        settings = self.settings
+        repeated: list[tuple[float, Callable[[], Awaitable[None]]]] = [
+            (settings.poll_interval_s, self.poll_configuration),
+            (settings.gossip_interval_s, self.refresh),
+            (HOST_LIST_INTERVAL_S, self.read_hosts),
+            (SHARE_STEP_S, self.move_shares),
+            (HEARTBEAT_STEP_S, self.send_heartbeats),
+            (TRAFFIC_STEP_S, self.step_traffic),
+            (FLUSH_INTERVAL_S, self.flush_ledger),
+            (ledgers.SWEEP_INTERVAL_S, self.sweep_ledger),
+        ]
+        for interval_s, action in repeated:
+            task = asyncio.create_task(self._repeat(interval_s, action))
+            exits.push_async_callback(_cancel, task)
+
+    async def _repeat(
+        self, interval_s: float, action: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            try:
+                await action()
+            except exceptions.BanyanshedError as error:
+                self._log_failure(action.__name__, error)
+            except Exception as error:  # A fault must not end the timer.
+                logs.log(
+                    "timer_failed", action=action.__name__, error=repr(error)
+                )
+            jitter = self.rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+            await asyncio.sleep(interval_s * jitter)
+
+    def _log_failure(
+        self, call: str, error: exceptions.BanyanshedError
+    ) -> None:
+        self.telemetry.platform_errors.labels(call, error.code).inc()
+        logs.log("call_failed", call=call, code=error.code)
+
+    def _start_server(self, exits: contextlib.AsyncExitStack) -> None:
+        self.requests = serving.RequestServer(
+            self.bridge, self.forwarder, self.ledger
+        )
+        server_exits = exits.enter_context(contextlib.ExitStack())
+        server.start(
+            server_exits,
+            self.settings,
+            web.CallerApplication(self, self.settings.body_limit_bytes),
+            operators.OperatorPages(self.table, self, self.settings.operators),
+            server.PublicPages(self, self.telemetry),
+        )
+
+    async def _await_configuration(self) -> None:
+        """Waits until the store or a peer has told the configuration."""
+        while not self.stopping.is_set():
+            if self.entry.freshness.confirmed_at_s > float("-inf"):
+                return
+            if self.entry.config.version > 0:
+                return
+            await asyncio.sleep(SHARE_STEP_S)
+
+    # Graceful stop.
+
+    async def _drain(self) -> None:
+        """Ends a planned stop's duties before anything is closed."""
+        started_s = time.monotonic()
+        end_s = started_s + self.settings.stop_timeout_s
+        logs.log("stopping", host=self.settings.host)
+        self.entry.leave()
+        await self.peering.leave()
+        self.entry.refresh(time.monotonic())
+        # Callers may keep using a look-up's answer for its time to live.
+        ttl_s = self.settings.lookup_ttl_s + self.settings.gossip_interval_s
+        await asyncio.sleep(ttl_s)
+        self.entry.traffic.close()
+        while self.entry.traffic.in_flight and time.monotonic() < end_s:
+            await asyncio.sleep(IN_FLIGHT_STEP_S)
+        await self._in_platform(self.ledger.flush)
+        await self._return_shares()
+
+    async def _return_shares(self) -> None:
+        holder = self.entry.shares
+        holder.release_all(time.monotonic())
+        end_s = time.monotonic() + RETURN_TIMEOUT_S
+        while time.monotonic() < end_s:
+            if holder.phase is leases.Phase.RETURNED:
+                return
+            await asyncio.sleep(SHARE_STEP_S)
+        logs.log("shares_not_returned", host=self.settings.host)
+
+    # Platform.
+
+    async def _in_platform(self, function: Callable[..., T], *args: Any) -> T:
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self.platform_pool, function, *args)
+
+    async def poll_configuration(self) -> None:
+        """Reads the newest version, and the rows if it is newer."""
+        now_s = time.monotonic()
+        entry = self.entry
+        page = await self._in_platform(self.table.read, [rows.HEAD_KEY])
+        self._observe_clock(now_s, page)
+        newest = page.rows[0].version
+        if newest > entry.config.version:
+            newest, now_s = await self._scan_configuration()
+        self.peering.on_store_read(now_s, newest)
+
+    async def _scan_configuration(self) -> tuple[int, float]:
+        """Applies newer rows; returns their version and when it was asked."""
+        sent_s = time.monotonic()
+        since = self.entry.config.version
+        page = await self._in_platform(
+            self.table.scan, rows.CONFIG_PREFIX, since
+        )
+        self._observe_clock(sent_s, page)
+        delta = configuration.delta_from_page(page, since)
+        self.entry.apply_delta(time.monotonic(), delta)
+        return delta.version, sent_s
+
+    def _observe_clock(self, sent_s: float, page: models.TablePage) -> None:
+        self.entry.on_store_clock(sent_s, time.monotonic(), page.now_s)
+
+    async def read_hosts(self) -> None:
+        """Reads the platform's list of hosts."""
+        self.entry.on_hosts(await self._in_platform(self.host_list.hosts))
+
+    async def move_shares(self) -> None:
+        """Carries one request of the share holder to the table service."""
+        holder = self.entry.shares
+        request = holder.next_request(time.monotonic())
+        if request is None:
+            return
+        try:
+            if isinstance(request, leases.ReadRequest):
+                page = await self._in_platform(self.table.read, request.keys)
+                holder.on_page(time.monotonic(), page)
+                return
+            self.telemetry.transactions.labels("shares").inc()
+            commit = await self._in_platform(self.table.transact, request)
+            holder.on_commit(time.monotonic(), commit)
+        except exceptions.ConditionFailed as error:
+            holder.on_conflict(time.monotonic(), error.rows)
+        except exceptions.StoreUnavailable:
+            holder.on_unavailable(time.monotonic())
+        except exceptions.StoreTimeout:
+            holder.on_unknown(time.monotonic())
+
+    async def flush_ledger(self) -> None:
+        """Repeats records that the platform did not take."""
+        if self.ledger.pending:
+            await self._in_platform(self.ledger.flush)
+
+    async def sweep_ledger(self) -> None:
+        """Deletes some expired claims."""
+        await self._in_platform(self.ledger.sweep, self.rng)
+
+    # Peers.
+
+    def version(self) -> int:
+        """Returns the version in force, for peers."""
+        return self.entry.config.version
+
+    def encode_delta(self, version: int) -> peers.Delta:
+        """Returns the rows changed after a version, for a peer."""
+        delta = self.entry.config.delta_since(models.ConfigVersion(version))
+        return peers.Delta(delta.version, deltas.encode(delta))
+
+    def apply_delta(self, delta: peers.Delta) -> None:
+        """Applies a peer's rows; raises PeerError when malformed."""
+        found = deltas.decode(delta.content)
+        self.entry.apply_delta(time.monotonic(), found)
+
+    async def refresh(self) -> None:
+        """Takes over changes of membership and of planned drains."""
+        self.entry.refresh(time.monotonic())
+
+    async def send_heartbeats(self) -> None:
+        """Sends due heartbeats to this host's witnesses."""
+        now_s = time.monotonic()
+        for host, heartbeat in self.entry.shares.heartbeats(now_s):
+            member = self.entry.members.members.get(host)
+            if member is None:
+                continue
+            address = member.profile.peer_address
+            self._spawn(self._beat(address, heartbeat))
+
+    async def _beat(self, address: str, heartbeat: sessions.Heartbeat) -> None:
+        with contextlib.suppress(exceptions.PeerError):
+            answer = await self.client.heartbeat(address, heartbeat)
+            self.entry.shares.on_acknowledgement(time.monotonic(), answer)
+
+    def _spawn(self, action: Any) -> None:
+        task = asyncio.ensure_future(action)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    # Traffic.
+
+    def _handle(self, event: Any) -> None:
+        self.entry.traffic.handle(event, time.monotonic())
+
+    async def step_traffic(self) -> None:
+        """Serves waiting requests and probes backend servers that are due."""
+        now_s = time.monotonic()
+        self.entry.traffic.tick(now_s)
+        for probe in self.entry.traffic.due_probes(now_s):
+            self._spawn(self._probe(probe))
+
+    async def _probe(self, probe: Any) -> None:
+        loop = asyncio.get_running_loop()
+        sent_s = time.monotonic()
+        result = await loop.run_in_executor(
+            self.probe_pool, forwarding.probe, probe.address, PROBE_TIMEOUT_S
+        )
+        self.entry.traffic.on_probe(time.monotonic(), sent_s, probe, result)
+
+    # Called from pool threads.
+
+    def lookup(
+        self, client: str, tenant: str | None, service: str
+    ) -> Mapping[str, Any] | models.Refusal:
+        """Returns the answer to a look-up."""
+        self.telemetry.lookups.inc()
+        return self.bridge.run(
+            lambda: self.entry.look_up(client, tenant, service)
+        )
+
+    def serve(
+        self, request: requests.CallerRequest, arrived_s: float
+    ) -> requests.Answer | models.Refusal:
+        """Serves a request and counts its outcome."""
+        answer = self.requests.serve(request, arrived_s)
+        if isinstance(answer, models.Refusal):
+            self.telemetry.refusals.labels(
+                self._known_service(request.service),
+                answer.code,
+                answer.ran.value,
+            ).inc()
+            return answer
+        self.telemetry.latency.labels(request.service).observe(
+            time.monotonic() - arrived_s
+        )
+        return answer
+
+    def _known_service(self, service: models.ServiceId) -> str:
+        # Unknown names would grow the metrics without bound.
+        return service if service in self.entry.config.services else "unknown"
+
+    def health(self) -> dict[str, Any]:
+        """Returns whether this host takes new callers."""
+        return self.bridge.run(self._health)
+
+    def _health(self) -> dict[str, Any]:
+        return {
+            "state": "leaving" if self.entry.leaving else "live",
+            "host": self.settings.host,
+            "config_version": self.entry.config.version,
+        }
+
+    def state_dump(self) -> dict[str, Any]:
+        """Returns the state of this daemon as JSON data."""
+        return self.bridge.run(self._state)
+
+    def _state(self) -> dict[str, Any]:
+        state = self.entry.state(time.monotonic())
+        state["ledger"] = {
+            "pending": len(self.ledger.pending),
+            "results": dict(self.ledger.results),
+        }
+        return state
+
+    def hosts(self) -> tuple[models.ListedHost, ...]:
+        """Returns all known entry hosts with their states."""
+        return self.bridge.run(self.entry.known_hosts)
+
+    def inspect(
+        self, function: Callable[[configuration.Configuration], T]
+    ) -> T:
+        """Runs a function on the configuration, on the loop's thread."""
+        return self.bridge.run(lambda: function(self.entry.config))
+
+    def apply(self, delta: configuration.ConfigDelta) -> None:
+        """Puts rows in force that an operator changed through this host."""
+        self.bridge.run(lambda: self._apply(delta))
+
+    def _apply(self, delta: configuration.ConfigDelta) -> None:
+        self.entry.apply_delta(time.monotonic(), delta)
+        self.peering.on_version()
+
+
+async def _cancel(task: asyncio.Task[Any]) -> None:
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+def main(argv: list[str]) -> int | None:
+    """Runs the daemon; exit code 2 for bad settings."""
+    del argv
+    try:
+        text = pathlib.Path(SETTINGS.value).read_text(encoding="utf-8")
+        settings = settings_module.load(text)
+    except exceptions.InvalidInput as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    except OSError as error:
+        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    logs.start()
+    asyncio.run(Daemon(settings).run())
+    return None
+
+
+def run() -> None:
+    """Entry point of the program."""
+    flags.mark_flag_as_required("settings")
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/banyanshed/deltas.py
@@ -0,0 +1,43 @@
+"""Encoding of configuration deltas between hosts."""
+
+import json
+import zlib
+
+from banyanshed import configuration
+from banyanshed import exceptions
+from banyanshed import models
+
+MAX_DELTA_BYTES = 256 << 20
+COMPRESSION = 1
+
+
+def encode(delta: configuration.ConfigDelta) -> bytes:
+    """Returns a delta as compressed JSON."""
+    content = {
+        "base": delta.base,
+        "version": delta.version,
+        "rows": [[row.key, row.version, row.value] for row in delta.rows],
+    }
+    encoded = json.dumps(content, separators=(",", ":")).encode()
+    return zlib.compress(encoded, COMPRESSION)
+
+
+def decode(content: bytes) -> configuration.ConfigDelta:
+    """Reads a delta; raises PeerError when it is malformed."""
+    try:
+        expander = zlib.decompressobj()
+        expanded = expander.decompress(content, MAX_DELTA_BYTES)
+        if not expander.eof:
+            raise ValueError("cut or too large")
+        found = json.loads(expanded)
+        rows = [
+            models.TableRow(str(key), int(version), value)
+            for key, version, value in found["rows"]
+        ]
+        return configuration.ConfigDelta(
+            models.ConfigVersion(int(found["base"])),
+            models.ConfigVersion(int(found["version"])),
+            tuple(rows),
+        )
+    except (ValueError, KeyError, TypeError, zlib.error) as error:
+        raise exceptions.PeerError(f"malformed delta: {error}") from None
--- /dev/null
+++ b/src/banyanshed/entry.py
@@ -0,0 +1,277 @@
+"""The core of one entry host: fleet, configuration, limits and traffic.
+
+No input or output: the daemon calls it on its loop with the time of a
+monotonic clock, and carries out what it returns.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import random
+from typing import Any
+
+from banyanshed import blocks
+from banyanshed import configuration
+from banyanshed import freshness
+from banyanshed import gossip
+from banyanshed import leases
+from banyanshed import lookups
+from banyanshed import membership
+from banyanshed import models
+from banyanshed import problems
+from banyanshed import rows
+from banyanshed import sessions
+from banyanshed import settings as settings_module
+from banyanshed import shares
+from banyanshed import traffic
+
+MAX_INCARNATION = (1 << 64) - 1
+
+
+class Entry:
+    """State of one daemon; owned by its loop's thread."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        rng: random.Random,
+        now_s: float,
+    ):
+        """Starts with an empty configuration and no shares.
+
+        Args:
+            settings: Settings of this host.
+            rng: Source of random numbers.
+            now_s: Monotonic time in seconds.
+        """
+        self.settings = settings
+        self.rng = rng
+        self.host = settings.host_id()
+        self.region = models.RegionId(settings.region)
+        self.store_region = models.RegionId(settings.store_region)
+        self.incarnation = rng.randint(1, MAX_INCARNATION)
+        self.leaving = False
+        self.config = configuration.Configuration()
+        self.clock = sessions.StoreClock()
+        self.freshness = freshness.Freshness(
+            self.host, self.region, self.store_region, settings.max_key_age_s
+        )
+        self.members = membership.Membership(
+            self._profile(), self.incarnation, rng, now_s
+        )
+        self.gossip = gossip.Gossip(
+            self.members, self.freshness, rng, self.store_region
+        )
+        self.shares = leases.ShareHolder(
+            self.host,
+            sessions.Incarnation(str(self.incarnation)),
+            rng,
+            settings.lease_s,
+        )
+        self.lookup = lookups.Lookup(
+            settings.lookup_ttl_s, settings.lookup_hosts
+        )
+        self.traffic = traffic.Traffic(
+            settings, self.config, self.shares, self.freshness, rng
+        )
+        self.drained: frozenset[str] = frozenset()
+
+    def _profile(self) -> models.ListedHost:
+        return models.ListedHost(
+            host=self.host,
+            region=self.region,
+            zone=models.ZoneId(self.settings.zone),
+            caller_address=self.settings.caller_address,
+            peer_address=self.settings.peer_address,
+            state=models.HostState.LIVE,
+        )
+
+    # Configuration.
+
+    def apply_delta(
+        self, now_s: float, delta: configuration.ConfigDelta
+    ) -> None:
+        """Takes newer rows; older ones change nothing."""
+        before = self.config.version
+        self.config.apply(delta)
+        if self.config.version == before and not delta.rows:
+            return
+        self._on_config(now_s)
+
+    def on_store_clock(
+        self, sent_s: float, now_s: float, store_s: float
+    ) -> None:
+        """Takes the table service's clock from an answer."""
+        self.clock.observe(sent_s, now_s, store_s)
+
+    def _on_config(self, now_s: float) -> None:
+        self.lookup.set_distances(
+            {
+                region: {
+                    models.RegionId(name): distance_ms
+                    for name, distance_ms in row.distances_ms.items()
+                }
+                for region, row in self.config.regions.items()
+            }
+        )
+        self._set_limits(now_s)
+        self.traffic.on_config(now_s, self.drained)
+
+    def _set_limits(self, now_s: float) -> None:
+        """Hands the limits over, with drained placements closed."""
+        self.drained = self._drained_now(now_s)
+        limited: list[rows.AnyRow] = []
+        for row in self.config.rows.values():
+            if rows.row_key(row) not in self.drained:
+                limited.append(row)
+                continue
+            limited.append(row.model_copy(update={"weight": 0}))
+        self.shares.set_limits(shares.limits_of(limited, self.config.version))
+
+    def _drained_now(self, now_s: float) -> frozenset[str]:
+        """Returns keys of placements and backend servers being drained."""
+        if not self.config.drains or not self.clock.known:
+            return frozenset()
+        store_s = self.clock.latest_s(now_s)
+        keys = []
+        for drain in self.config.drains.values():
+            if not drain.starts_s <= store_s < drain.ends_s:
+                continue
+            kind, name = "placement", drain.region
+            if drain.backend is not None:
+                kind, name = "backend", drain.backend
+            keys.append(f"{rows.CONFIG_PREFIX}{kind}/{drain.service}/{name}")
+        return frozenset(keys)
+
+    # Fleet.
+
+    def on_hosts(self, hosts: Iterable[models.ListedHost]) -> None:
+        """Takes the platform's list of hosts."""
+        self.members.update_list(hosts)
+
+    def refresh(self, now_s: float) -> None:
+        """Takes over what membership and the clock have changed."""
+        live = self.members.live_hosts()
+        self.lookup.set_hosts(live)
+        self.shares.set_peers([member.host for member in live])
+        self.traffic.backends.set_hosts(len(live))
+        if self._drained_now(now_s) != self.drained:
+            self._set_limits(now_s)
+            self.traffic.on_config(now_s, self.drained)
+
+    def known_hosts(self) -> tuple[models.ListedHost, ...]:
+        """Returns all known entry hosts with their states."""
+        return tuple(
+            dataclasses.replace(member.profile, state=member.effective_state())
+            for member in self.members.members.values()
+        )
+
+    def leave(self) -> None:
+        """Starts a planned stop; peers must be told by the caller."""
+        self.leaving = True
+        self.shares.witness.waive()
+
+    # Look-ups.
+
+    def look_up(
+        self, client: str, tenant: str | None, service: str
+    ) -> dict[str, Any] | models.Refusal:
+        """Returns the answer to a look-up as JSON data.
+
+        Args:
+            client: Address of the caller.
+            tenant: Tenant that will call; None for services open to all.
+            service: Service that will be called.
+        """
+        if models.ServiceId(service) not in self.config.services:
+            return problems.refuse(
+                404, "no_such_service", "There is no such service."
+            )
+        try:
+            site = self.config.blocks.find(client)
+        except ValueError:
+            return problems.refuse(
+                400, "bad_client", "client is an IP address."
+            )
+        answer = self.lookup.lookup(self._caller(client, site, tenant, service))
+        return {
+            "hosts": [
+                {"host": host.host, "address": host.caller_address}
+                for host in answer.hosts
+            ],
+            "ttl_s": answer.ttl_s,
+            "version": self.config.version,
+        }
+
+    def _caller(
+        self,
+        client: str,
+        site: blocks.Site | None,
+        tenant: str | None,
+        service: str,
+    ) -> lookups.Caller:
+        tenant_id = None if tenant is None else models.TenantId(tenant)
+        row = None if tenant_id is None else self.config.tenants.get(tenant_id)
+        if row is None:
+            return lookups.Caller(client, site, None, models.ServiceId(service))
+        regions = max(1, len(self.lookup.regions))
+        hosts = lookups.subset_hosts(row.rate, row.burst, regions)
+        return lookups.Caller(
+            client, site, tenant_id, models.ServiceId(service), hosts
+        )
+
+    # State.
+
+    def state(self, now_s: float) -> dict[str, Any]:
+        """Returns the state of this daemon as JSON data, without secrets."""
+        return {
+            "host": self.host,
+            "region": self.region,
+            "incarnation": str(self.incarnation),
+            "leaving": self.leaving,
+            "config_version": self.config.version,
+            "config_age_s": _finite(self.freshness.config_age_s(now_s)),
+            "keys_usable": self.freshness.keys_usable(now_s),
+            "findings": _findings(self.config),
+            "hosts": {
+                host: state.value
+                for host, state in sorted(self.members.states().items())
+            },
+            "drained": sorted(self.drained),
+            "shares": _shares(self.shares, now_s),
+            "traffic": self.traffic.state(now_s),
+        }
+
+
+def _finite(value: float) -> float | None:
+    return value if value < float("inf") else None
+
+
+def _findings(config: configuration.Configuration) -> list[str]:
+    found: list[str] = []
+    for findings in config.findings.values():
+        found.extend(str(finding) for finding in findings)
+    return found
+
+
+def _shares(holder: leases.ShareHolder, now_s: float) -> dict[str, Any]:
+    held: dict[str, Any] = {}
+    for key, share in sorted(holder.held.items()):
+        if isinstance(share, leases.HeldUnits):
+            held[key] = {
+                "units": share.units,
+                "target": share.target,
+                "in_use": share.in_use,
+            }
+            continue
+        held[key] = {
+            "rate": share.bucket.rate,
+            "burst": share.bucket.burst,
+            "tokens": share.bucket.tokens,
+        }
+    return {
+        "phase": holder.phase.value,
+        "session": holder.session,
+        "valid": holder.valid(now_s),
+        "witnesses": sorted(witness.host for witness in holder.named),
+        "held": held,
+    }
--- /dev/null
+++ b/src/banyanshed/server.py
@@ -0,0 +1,98 @@
+"""CherryPy's HTTP server of one daemon: callers, operators and metrics."""
+
+import contextlib
+import json
+from typing import Any, Protocol
+
+import cherrypy
+import prometheus_client
+
+from banyanshed import settings as settings_module
+from banyanshed import telemetry as telemetry_module
+from banyanshed import web
+
+MAX_HEADER_BYTES = 32 << 10
+SOCKET_TIMEOUT_S = 10
+SHUTDOWN_TIMEOUT_S = 5
+QUEUE_LENGTH = 1024
+
+
+class StateSource(Protocol):
+    """What the public pages need of the daemon; called from pool threads."""
+
+    def health(self) -> dict[str, Any]:
+        """Returns whether this host takes new callers, as JSON data."""
+
+
+class PublicPages:
+    """Pages that need no token: metrics and health."""
+
+    def __init__(
+        self, source: StateSource, telemetry: telemetry_module.Telemetry
+    ):
+        """Takes the daemon and its metrics."""
+        self.source = source
+        self.telemetry = telemetry
+
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """Returns Prometheus metrics."""
+        cherrypy.response.headers["Content-Type"] = (
+            prometheus_client.CONTENT_TYPE_LATEST
+        )
+        return self.telemetry.encode()
+
+    @cherrypy.expose
+    def health(self) -> bytes:
+        """Returns this host's state; status 503 while it is leaving."""
+        found = self.source.health()
+        cherrypy.response.status = 200 if found["state"] == "live" else 503
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return json.dumps(found).encode()
+
+
+def start(
+    exits: contextlib.ExitStack,
+    settings: settings_module.Settings,
+    callers: web.CallerApplication,
+    operators: Any,
+    public: PublicPages,
+) -> None:
+    """Starts the server; the exit stack stops it.
+
+    Args:
+        exits: Owner of the server.
+        settings: Settings of this host.
+        callers: WSGI application for callers.
+        operators: CherryPy pages for operators.
+        public: Pages without a token.
+    """
+    ip, port = settings_module.split_address(settings.caller_address)
+    cherrypy.config.update(
+        {
+            "engine.autoreload.on": False,
+            "checker.on": False,
+            "log.screen": False,
+            "log.access_file": "",
+            "log.error_file": "",
+            "request.show_tracebacks": False,
+            "server.socket_host": ip,
+            "server.socket_port": port,
+            "server.thread_pool": settings.threads,
+            "server.socket_queue_size": QUEUE_LENGTH,
+            "server.socket_timeout": SOCKET_TIMEOUT_S,
+            "server.shutdown_timeout": SHUTDOWN_TIMEOUT_S,
+            "server.max_request_header_size": MAX_HEADER_BYTES,
+            # The callers' application limits bodies with its own answer.
+            "server.max_request_body_size": 0,
+        }
+    )
+    cherrypy.log.access_log.propagate = False
+    cherrypy.log.error_log.propagate = False
+    cherrypy.tree.graft(callers, web.SERVICE_PREFIX.rstrip("/"))
+    cherrypy.tree.graft(callers, web.LOOKUP_PATH)
+    cherrypy.tree.mount(operators, "/operator")
+    cherrypy.tree.mount(public, "/")
+    cherrypy.engine.autoreload.unsubscribe()
+    exits.callback(cherrypy.engine.exit)
+    cherrypy.engine.start()
--- a/src/banyanshed/web.py
+++ b/src/banyanshed/web.py
@@ -10,6 +10,7 @@
 import uuid
 
 from banyanshed import keys
+from banyanshed import logs
 from banyanshed import models
 from banyanshed import problems
 from banyanshed import requests
@@ -85,6 +86,14 @@
             answer = self._serve(environ, arrived_s)
         except InvalidRequest as error:
             answer = error.refusal
+        except Exception as error:  # A fault must still get a true answer.
+            logs.log("request_failed", error=type(error).__name__)
+            answer = problems.refuse(
+                500,
+                "internal_error",
+                "The host failed; the request may have run.",
+                ran=models.Ran.UNKNOWN,
+            )
         return _respond(answer, start_response)
 
     def _serve(
