--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,153 @@
+"""Starts a whole small installation as child processes on loopback addresses.
+
+Used by the demo, tests and benchmarks: stand-ins for the platform and for
+backend servers, and entry hosts. An exit stack owns all processes.
+"""
+
+from collections.abc import Sequence
+import contextlib
+import dataclasses
+import hashlib
+import itertools
+import os
+import pathlib
+import tempfile
+from typing import Any
+
+import yaml
+
+from standins import processes
+
+OPERATOR_TOKEN = "operator-token-of-the-stand-in-installation"
+FLEET_SECRET = "fleet-secret-of-the-stand-in-installation"
+CALLER_PORT = 8100
+PEER_PORT = 8200
+BACKEND_PORT = 8300
+PLATFORM_PORT = 8000
+MIN_NETWORK = 16
+NETWORKS = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Region and availability zone."""
+
+    region: str
+    zone: str
+
+
+def make_network() -> str:
+    """Returns the first two numbers of loopback addresses of this process."""
+    number = os.getpid()
+    second = MIN_NETWORK + number // NETWORKS % NETWORKS
+    return f"127.{second}.{1 + number % NETWORKS}"
+
+
+class Fleet:
+    """Processes of one installation.
+
+    Attributes:
+        platform: The platform's stand-in.
+        backends: Backend servers by id.
+        hosts: Entry hosts by id.
+    """
+
+    def __init__(self, exits: contextlib.ExitStack, store_region: str):
+        """Starts the platform's stand-in; the stack ends all processes."""
+        self.exits = exits
+        self.store_region = store_region
+        self.network = make_network()
+        self.numbers = itertools.count(1)
+        folder = exits.enter_context(tempfile.TemporaryDirectory())
+        self.folder = pathlib.Path(folder)
+        self.backends: dict[str, processes.Child] = {}
+        self.hosts: dict[str, processes.Child] = {}
+        self.settings: dict[str, dict[str, Any]] = {}
+        self.platform = processes.start(
+            exits,
+            "standins.platform",
+            "--address",
+            f"{self._ip()}:{PLATFORM_PORT}",
+        )
+
+    def _ip(self) -> str:
+        return f"{self.network}.{next(self.numbers)}"
+
+    def add_backend(
+        self, service: str, backend: str, slots: int, work_ms: float
+    ) -> str:
+        """Starts a backend server and returns its "IP:port"."""
+        child = processes.start(
+            self.exits,
+            "standins.backend",
+            "--address",
+            f"{self._ip()}:{BACKEND_PORT}",
+            "--service",
+            service,
+            "--backend",
+            backend,
+            "--slots",
+            str(slots),
+            "--work_ms",
+            str(work_ms),
+        )
+        self.backends[backend] = child
+        return child.address
+
+    def add_hosts(
+        self, places: Sequence[tuple[str, Place]], **settings: Any
+    ) -> None:
+        """Starts entry hosts; the platform lists all before the first starts.
+
+        Args:
+            places: Id and place of each.
+            **settings: Settings that differ from the defaults.
+        """
+        for host, place in places:
+            self.list_host(host, place, settings)
+        for host, _ in places:
+            self.start_host(host)
+
+    def list_host(
+        self, host: str, place: Place, settings: dict[str, Any]
+    ) -> None:
+        """Makes a host's settings and lists it, without starting it."""
+        ip = self._ip()
+        entry = {
+            "region": place.region,
+            "zone": place.zone,
+            "caller_address": f"{ip}:{CALLER_PORT}",
+            "peer_address": f"{ip}:{PEER_PORT}",
+        }
+        digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+        self.settings[host] = {
+            "host": host,
+            **entry,
+            "store_region": self.store_region,
+            "platform": {
+                "table_address": self.platform.address,
+                "objects_address": self.platform.address,
+                "hosts_address": self.platform.address,
+            },
+            "fleet_secret": FLEET_SECRET,
+            "operators": {digest: "duty"},
+            **settings,
+        }
+        self.platform.put(f"/hosts/{host}", entry | {"state": "live"})
+
+    def start_host(self, host: str) -> processes.Child:
+        """Starts a listed host, again if it ran before."""
+        path = self.folder / f"{host}.yaml"
+        path.write_text(yaml.safe_dump(self.settings[host]), encoding="utf-8")
+        log = self.exits.enter_context(
+            (self.folder / f"{host}.log").open("a", encoding="utf-8")
+        )
+        child = processes.start(
+            self.exits, "banyanshed.daemon", "--settings", str(path), log=log
+        )
+        self.hosts[host] = child
+        return child
+
+    def addresses(self) -> list[str]:
+        """Returns "IP:port" for callers of all entry hosts."""
+        return [child.address for child in self.hosts.values()]
--- a/tests/processes.py
+++ b/standins/processes.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 import threading
-from typing import Any
+from typing import IO, Any
 
 import urllib3
 
@@ -37,9 +37,11 @@
         )
 
     def get(self, path: str) -> Any:
+        """Returns the JSON of a path."""
         return self.call("GET", path).json()
 
     def put(self, path: str, value: Any) -> None:
+        """Puts JSON; the answer must be 200."""
         assert self.call("PUT", path, value).status == 200
 
     def stop(self) -> int:
@@ -48,11 +50,17 @@
         return self.process.wait(STOP_TIMEOUT_S)
 
 
-def start(stack: contextlib.ExitStack, module: str, *arguments: str) -> Child:
+def start(
+    stack: contextlib.ExitStack,
+    module: str,
+    *arguments: str,
+    log: IO[str] | None = None,
+) -> Child:
     """Starts `python -m module` and waits for its line "listening IP:PORT"."""
     process = subprocess.Popen(
         [sys.executable, "-m", module, *arguments],
         stdout=subprocess.PIPE,
+        stderr=log,
         text=True,
     )
     stack.callback(end, process)
@@ -68,6 +76,7 @@
 
 
 def read_lines(child: Child, listening: threading.Event) -> None:
+    """Notes what a child prints, and its address."""
     for line in child.process.stdout:
         child.lines.append(line)
         if line.startswith("listening ") and not child.address:
@@ -77,6 +86,7 @@
 
 
 def end(process: subprocess.Popen) -> None:
+    """Ends a process that may be stopped or paused."""
     if process.poll() is None:
         process.send_signal(signal.SIGCONT)
         process.terminate()
--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -5,7 +5,7 @@
 import pytest
 import urllib3
 
-from tests import processes
+from standins import processes
 
 
 @pytest.fixture
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -7,7 +7,7 @@
 from banyanshed import models
 from banyanshed import objects
 from banyanshed import tables
-from tests import processes
+from standins import processes
 
 CONDITION = models.Condition
 WRITE = models.Write
