Take blocks and look-ups faster at the size planned for

Cause: at 580,000 blocks, deltas parsed each network five times and sorted whole levels anew; look-ups open to all ranked all hosts of a region, and subsets were cached for each site and service.

Ruled out: caching parsed networks, which costs memory for all time.

Change: large deltas go through the blocks once and merge by slices; subsets are cached by region and tenant; hosts of other zones are ranked only when places are left.

--- a/src/banyanshed/blocks.py
+++ b/src/banyanshed/blocks.py
@@ -80,21 +80,25 @@
 
     def extend(self, added: list[tuple[int, int, int]]) -> None:
         """Adds many (prefix, site, version) at once; none may be present."""
-        start = len(self.prefixes)
-        for prefix, site, version in added:
-            self.prefixes.append(prefix)
-            self.sites.append(site)
-            self.versions.append(version)
-        if start == 0 and _is_sorted(self.prefixes):
-            return
-        order = sorted(range(len(self.prefixes)), key=self.prefixes.__getitem__)
         prefixes = _new_prefixes(self.length)
-        prefixes.extend(self.prefixes[position] for position in order)
+        sites = array("H")
+        versions = array("Q")
+        start = 0
+        for prefix, site, version in sorted(added):
+            end = bisect.bisect_left(self.prefixes, prefix, start)
+            prefixes.extend(self.prefixes[start:end])
+            sites.extend(self.sites[start:end])
+            versions.extend(self.versions[start:end])
+            prefixes.append(prefix)
+            sites.append(site)
+            versions.append(version)
+            start = end
+        prefixes.extend(self.prefixes[start:])
+        sites.extend(self.sites[start:])
+        versions.extend(self.versions[start:])
         self.prefixes = prefixes
-        self.sites = array("H", (self.sites[position] for position in order))
-        self.versions = array(
-            "Q", (self.versions[position] for position in order)
-        )
+        self.sites = sites
+        self.versions = versions
 
     def cidr(self, position: int) -> str:
         """Returns the network at a position in canonical form."""
@@ -142,6 +146,12 @@
         position = level.find(_prefix(network))
         return None if position < 0 else self._block(level, position)
 
+    def version(self, network: Network) -> int:
+        """Returns the version of a block; 0 when it never was."""
+        level = self._level(network)
+        position = level.find(_prefix(network))
+        return 0 if position < 0 else level.versions[position]
+
     def put(self, network: Network, site: Site | None, version: int) -> bool:
         """Records a block, or its deletion, unless it is not newer."""
         level = self._level(network)
--- a/src/banyanshed/configuration.py
+++ b/src/banyanshed/configuration.py
@@ -6,7 +6,7 @@
 complete.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator, Sequence
 import dataclasses
 import functools
 import ipaddress
@@ -105,9 +105,10 @@
         """
         if delta.base > self.version:
             return False
-        if len(delta.rows) >= block_maps.BULK_BLOCKS:
-            self._apply_blocks(delta.rows)
-        for row in delta.rows:
+        changed: Sequence[models.TableRow] = delta.rows
+        if len(changed) >= block_maps.BULK_BLOCKS:
+            changed = self._apply_blocks(changed)
+        for row in changed:
             if row.version > self.row_version(row.key):
                 self._apply_row(row)
         self.version = max(self.version, delta.version)
@@ -118,8 +119,8 @@
         raw = self.raw.get(key)
         if raw is not None:
             return raw.version
-        block = self.stored_block(key)
-        return 0 if block is None else block.version
+        network = _key_network(key)
+        return 0 if network is None else self.blocks.version(network)
 
     def stored(self, key: str) -> models.TableRow:
         """Returns a row as held, valid or not."""
@@ -249,25 +250,37 @@
         index, name = _index(valid, self)
         index[name] = valid
 
-    def _apply_blocks(self, changed: Iterable[models.TableRow]) -> None:
-        """Takes the valid blocks of a large delta at once."""
+    def _apply_blocks(
+        self, changed: Sequence[models.TableRow]
+    ) -> list[models.TableRow]:
+        """Takes the newer valid blocks at once; returns all other rows."""
         fresh = []
+        others = []
         for row in changed:
-            if not row.key.startswith(BLOCK_PREFIX) or row.value is None:
+            network = _key_network(row.key)
+            if network is None or row.value is None:
+                others.append(row)
                 continue
-            if row.version <= self.row_version(row.key):
+            if row.version <= self._block_version(row.key, network):
                 continue
             try:
                 valid = parse_row(row)
             except exceptions.InvalidInput:
+                others.append(row)
                 continue
-            if not isinstance(valid, rows.BlockRow):
-                continue
+            assert isinstance(valid, rows.BlockRow)
             self._note_recent(row)
             self.raw.pop(row.key, None)
             self.findings.pop(row.key, None)
-            fresh.append((_network(valid), _site(valid), row.version))
+            fresh.append((network, _site(valid), row.version))
         self.blocks.put_all(fresh)
+        return others
+
+    def _block_version(self, key: str, network: block_maps.Network) -> int:
+        raw = self.raw.get(key)
+        if raw is not None:
+            return raw.version
+        return self.blocks.version(network)
 
     def _delete(self, row: models.TableRow) -> None:
         network = _key_network(row.key)
--- a/src/banyanshed/lookups.py
+++ b/src/banyanshed/lookups.py
@@ -57,7 +57,7 @@
     seed: int
 
 
-_Subset = tuple[tuple[_Candidate, ...], ...]
+_Subset = dict[models.ZoneId, list[_Candidate]]
 
 
 def subset_hosts(rate: float, burst: int, regions: int) -> int:
@@ -92,6 +92,7 @@
             models.RegionId, Mapping[models.RegionId, float]
         ] = {}
         self.subsets: dict[tuple[object, ...], _Subset] = {}
+        self.orders: dict[models.RegionId, list[models.RegionId]] = {}
 
     def set_hosts(self, hosts: Iterable[models.ListedHost]) -> None:
         """Replaces the known hosts; only live ones are ever named."""
@@ -105,6 +106,7 @@
             return
         self.regions = regions
         self.subsets.clear()
+        self.orders.clear()
 
     def set_distances(
         self,
@@ -112,7 +114,7 @@
     ) -> None:
         """Replaces the distances between regions, in milliseconds."""
         self.distances_ms = dict(distances_ms)
-        self.subsets.clear()
+        self.orders.clear()
 
     def lookup(self, caller: Caller) -> LookupAnswer:
         """Returns the hosts for a caller, near ones first.
@@ -121,12 +123,13 @@
         caller still has an address when its own region fails.
         """
         site = caller.site or self._any_site(caller.address)
-        groups = self._subset(caller, site)
-        reserved = 1 if len(groups) > 1 and self.answer_hosts > 1 else 0
+        order = self._near_first(site.region)
+        reserved = 1 if len(order) > 1 and self.answer_hosts > 1 else 0
         chosen: list[models.ListedHost] = []
-        for group in groups:
+        for region in order:
             places = self.answer_hosts - len(chosen) - reserved
-            chosen.extend(_rank(group, caller.address, site)[:places])
+            subset = self._subset(region, caller)
+            chosen.extend(_rank(subset, caller, site.zone, places))
             reserved = 0
             if len(chosen) >= self.answer_hosts:
                 break
@@ -140,41 +143,38 @@
         region = max(ranked)[1] if ranked else models.RegionId("")
         return blocks.Site(region, models.ZoneId(""))
 
-    def _subset(self, caller: Caller, site: blocks.Site) -> _Subset:
-        key = (site, caller.tenant, caller.service, caller.subset_hosts)
+    def _subset(self, region: models.RegionId, caller: Caller) -> _Subset:
+        key = (region, caller.tenant, caller.subset_hosts)
         subset = self.subsets.get(key)
         if subset is not None:
             return subset
         if len(self.subsets) >= MAX_CACHED_SUBSETS:
             self.subsets.clear()
-        subset = self._make_subset(caller, site)
+        members = self.regions[region]
+        # Services open to all are spread over every host.
+        if caller.tenant is not None:
+            members = _members(members, caller.tenant, caller.subset_hosts)
+        subset = {}
+        for host in members:
+            candidate = _Candidate(host, _hash(host.host, ""))
+            subset.setdefault(host.zone, []).append(candidate)
         self.subsets[key] = subset
         return subset
 
-    def _make_subset(self, caller: Caller, site: blocks.Site) -> _Subset:
-        groups = []
-        for region in self._near_first(site):
-            members = self.regions[region]
-            # Services open to all are spread over every host.
-            if caller.tenant is not None:
-                members = _members(members, caller.tenant, caller.subset_hosts)
-            groups.append(
-                tuple(
-                    _Candidate(host, _hash(host.host, caller.service))
-                    for host in members
-                )
-            )
-        return tuple(groups)
-
-    def _near_first(self, site: blocks.Site) -> list[models.RegionId]:
-        distances_ms = self.distances_ms.get(site.region, {})
+    def _near_first(self, near: models.RegionId) -> list[models.RegionId]:
+        order = self.orders.get(near)
+        if order is not None:
+            return order
+        distances_ms = self.distances_ms.get(near, {})
         ranked = []
         for region in self.regions:
             distance_ms = distances_ms.get(region, math.inf)
-            if region == site.region:
+            if region == near:
                 distance_ms = 0.0
             ranked.append((distance_ms, region))
-        return [region for _, region in sorted(ranked)]
+        order = [region for _, region in sorted(ranked)]
+        self.orders[near] = order
+        return order
 
 
 def _members(
@@ -188,16 +188,27 @@
 
 
 def _rank(
-    group: tuple[_Candidate, ...], address: str, site: blocks.Site
+    subset: _Subset, caller: Caller, zone: models.ZoneId, places: int
 ) -> list[models.ListedHost]:
-    text = address.encode()
-    ranked = []
-    for position, candidate in enumerate(group):
-        weight = xxhash.xxh3_64_intdigest(text, candidate.seed)
-        far = candidate.host.zone != site.zone
-        ranked.append((far, weight, position))
-    ranked.sort()
-    return [group[position].host for _, _, position in ranked]
+    """Returns hosts of the near zone, then others while places are left."""
+    text = f"{caller.service}\0{caller.address}".encode()
+    ranked = _rank_group(subset.get(zone, []), text)
+    if len(ranked) < places:
+        others = []
+        for other, group in subset.items():
+            if other != zone:
+                others.extend(group)
+        ranked.extend(_rank_group(others, text))
+    return ranked[:places]
+
+
+def _rank_group(
+    group: list[_Candidate], text: bytes
+) -> list[models.ListedHost]:
+    digest = xxhash.xxh3_64_intdigest
+    weights = [digest(text, candidate.seed) for candidate in group]
+    order = sorted(range(len(group)), key=weights.__getitem__)
+    return [group[position].host for position in order]
 
 
 def _hash(host: str, name: str) -> int:
