Order gossip by a heartbeat that only refutation raises

With a heartbeat raised by every answer, a host that knew a newer heartbeat of the dead one refuted the suspicion. First word of a listed host no longer takes the room of changes in messages.

--- /dev/null
+++ b/benchmarks/wires.py
@@ -0,0 +1,280 @@
+"""Several gossip cores joined by wires that delay, lose and repeat messages.
+
+For measurements and tests of the core's decisions; one process, no sockets.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import Any
+
+from banyanshed import freshness
+from banyanshed import gossip
+from banyanshed import membership
+from banyanshed import models
+
+STORE_REGION = models.RegionId("region-0")
+MAX_KEY_AGE_S = 4.0
+POLL_S = 1.0
+REPLY_TIMEOUT_S = 1.0
+FETCH_S = 0.1
+
+
+@dataclasses.dataclass
+class Wiring:
+    """How the wires behave.
+
+    Attributes:
+        delay_s: Least and most time that a message takes.
+        loss: Share of messages lost, each way.
+        repeats: Share of messages that arrive twice.
+        cut: Tells whether messages from one host to another are lost.
+    """
+
+    delay_s: tuple[float, float] = (0.001, 0.03)
+    loss: float = 0.0
+    repeats: float = 0.0
+    cut: Callable[[models.HostId, models.HostId], bool] = lambda *_: False
+
+
+@dataclasses.dataclass
+class Node:
+    """One host.
+
+    Attributes:
+        core: Its gossip.
+        profile: Its region, zone and addresses.
+        running: False while it is dead or frozen.
+        reads_store: It polls the store.
+        last_run_s: When it last did anything.
+    """
+
+    core: gossip.Gossip
+    profile: models.ListedHost
+    running: bool = True
+    reads_store: bool = True
+    last_run_s: float = 0.0
+
+
+class Wires:
+    """The hosts, the messages between them, and one store.
+
+    Attributes:
+        now_s: Time of the last event.
+        nodes: The hosts by address of the peer port.
+        accepted_s: When the store accepted each version, from version 0 on.
+        questions: Number of questions sent.
+        on_message: Called with the sender's host and each message.
+    """
+
+    def __init__(
+        self, seed: int, wiring: Wiring, interval_s: float = gossip.INTERVAL_S
+    ):
+        """Starts without hosts."""
+        self.rng = random.Random(seed)
+        self.wiring = wiring
+        self.interval_s = interval_s
+        self.now_s = 0.0
+        self.nodes: dict[str, Node] = {}
+        self.accepted_s = [0.0]
+        self.on_message: Callable[[models.HostId, Any], None] = lambda *_: None
+        self._events: list[tuple[float, int, Callable[..., None], Any]] = []
+        self._numbers = itertools.count()
+
+    def add(
+        self,
+        number: int,
+        regions: int = 3,
+        zones: int = 2,
+        seeds: tuple[str, ...] = (),
+    ) -> Node:
+        """Starts a host, or replaces the one of that number."""
+        region = models.RegionId(f"region-{number % regions}")
+        zone = models.ZoneId(f"{region}-{number // regions % zones}")
+        profile = models.ListedHost(
+            host=models.HostId(f"entry-{number:03}"),
+            region=region,
+            zone=zone,
+            caller_address=f"10.0.{number // 250}.{number % 250}:8080",
+            peer_address=f"10.0.{number // 250}.{number % 250}:8081",
+            state=models.HostState.LIVE,
+        )
+        rng = random.Random(self.rng.getrandbits(64))
+        members = membership.Membership(
+            profile, rng.getrandbits(64) | 1, rng, self.now_s
+        )
+        fresh = freshness.Freshness(
+            profile.host, region, STORE_REGION, MAX_KEY_AGE_S
+        )
+        core = gossip.Gossip(
+            members, fresh, rng, STORE_REGION, seeds, self.interval_s
+        )
+        node = Node(core, profile, last_run_s=self.now_s)
+        self.nodes[profile.peer_address] = node
+        self.call(self.rng.uniform(0, self.interval_s), self._tick, node)
+        self.call(self.rng.uniform(0, POLL_S), self._poll, node)
+        return node
+
+    def list_all(self) -> None:
+        """Gives all hosts the platform's list."""
+        profiles = [node.profile for node in self.nodes.values()]
+        for node in self.nodes.values():
+            node.core.members.update_list(profiles)
+
+    def call(
+        self, after_s: float, event: Callable[..., None], *args: Any
+    ) -> None:
+        """Plans an event."""
+        at_s = self.now_s + after_s
+        heapq.heappush(self._events, (at_s, next(self._numbers), event, args))
+
+    def run(self, duration_s: float) -> None:
+        """Lets time pass."""
+        end_s = self.now_s + duration_s
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, event, args = heapq.heappop(self._events)
+            event(*args)
+        self.now_s = end_s
+
+    def accept(self) -> int:
+        """Accepts a change in the store and returns its version."""
+        self.accepted_s.append(self.now_s)
+        return len(self.accepted_s) - 1
+
+    def send(self, node: Node, questions: list[gossip.Question]) -> None:
+        """Sends a host's questions."""
+        for question in questions:
+            self.on_message(node.profile.host, question.message)
+            receiver = self.nodes.get(question.address)
+            sent_s = self.now_s
+            replied: list[bool] = []
+            self._carry(
+                node,
+                receiver,
+                self._arrive,
+                node,
+                receiver,
+                question,
+                sent_s,
+                replied,
+            )
+            self.call(REPLY_TIMEOUT_S, self._expire, node, question, replied)
+
+    def _carry(
+        self,
+        source: Node,
+        target: Node | None,
+        event: Callable[..., None],
+        *args: Any,
+    ) -> None:
+        wiring = self.wiring
+        if target is None or self.rng.random() < wiring.loss:
+            return
+        if wiring.cut(source.profile.host, target.profile.host):
+            return
+        self.call(self.rng.uniform(*wiring.delay_s), event, *args)
+        if self.rng.random() < wiring.repeats:
+            self.call(self.rng.uniform(*wiring.delay_s), event, *args)
+
+    def _is_up(self, node: Node) -> bool:
+        present = self.nodes.get(node.profile.peer_address) is node
+        if present and node.running:
+            node.last_run_s = self.now_s
+            return True
+        return False
+
+    def _tick(self, node: Node) -> None:
+        if self.nodes.get(node.profile.peer_address) is not node:
+            return
+        if self._is_up(node):
+            self.send(node, node.core.tick(self.now_s))
+            self._fetch(node)
+        self.call(
+            self.interval_s * self.rng.uniform(0.9, 1.1), self._tick, node
+        )
+
+    def _poll(self, node: Node) -> None:
+        if self.nodes.get(node.profile.peer_address) is not node:
+            return
+        if self._is_up(node) and node.reads_store:
+            version = len(self.accepted_s) - 1
+            after_s = self.rng.uniform(*self.wiring.delay_s)
+            self.call(after_s, self._on_read, node, self.now_s, version)
+        self.call(POLL_S * self.rng.uniform(0.9, 1.1), self._poll, node)
+
+    def _on_read(self, node: Node, sent_s: float, version: int) -> None:
+        if self._is_up(node):
+            self.send(node, node.core.on_version(self.now_s, version))
+            node.core.freshness.on_store_read(sent_s, version)
+
+    def _arrive(
+        self,
+        node: Node,
+        receiver: Node,
+        question: gossip.Question,
+        sent_s: float,
+        replied: list[bool],
+    ) -> None:
+        if not self._is_up(receiver):
+            return
+        reply = receiver.core.on_gossip(self.now_s, question.message)
+        self.on_message(receiver.profile.host, reply)
+        self._fetch(receiver)
+        self._carry(
+            receiver,
+            node,
+            self._return,
+            node,
+            question,
+            sent_s,
+            reply,
+            replied,
+        )
+
+    def _return(
+        self,
+        node: Node,
+        question: gossip.Question,
+        sent_s: float,
+        reply: gossip.GossipMessage,
+        replied: list[bool],
+    ) -> None:
+        if not self._is_up(node):
+            return
+        replied.append(True)
+        self.send(node, node.core.on_reply(self.now_s, sent_s, reply))
+        self._fetch(node)
+
+    def _expire(
+        self, node: Node, question: gossip.Question, replied: list[bool]
+    ) -> None:
+        if not replied and self._is_up(node):
+            failed = node.core.on_failure(self.now_s, question.host)
+            self.send(node, failed)
+
+    def _fetch(self, node: Node) -> None:
+        host = node.core.next_fetch(self.now_s)
+        if host is None:
+            return
+        address = node.core.members.members[host].profile.peer_address
+        holder = self.nodes.get(address)
+        self.call(FETCH_S, self._on_fetched, node, holder, host)
+
+    def _on_fetched(
+        self, node: Node, holder: Node | None, host: models.HostId
+    ) -> None:
+        if not self._is_up(node):
+            return
+        cut = self.wiring.cut
+        applied = (
+            holder is not None
+            and self._is_up(holder)
+            and not cut(node.profile.host, host)
+            and not cut(host, node.profile.host)
+        )
+        if holder is not None and applied:
+            version = holder.core.freshness.version
+            self.send(node, node.core.on_version(self.now_s, version))
+        node.core.on_fetch_done(host, applied=applied)
--- a/src/banyanshed/codec.py
+++ b/src/banyanshed/codec.py
@@ -46,6 +46,7 @@
         _write_entry(entries[place], entry)
     builder.wants = list(message.wants)
     builder.probes = list(message.probes)
+    builder.reached = list(message.reached)
 
 
 def read_message(reader: Any) -> gossip.GossipMessage:
@@ -67,6 +68,9 @@
             probes=tuple(
                 _read_host(host) for host in _read_list(reader.probes)
             ),
+            reached=tuple(
+                _read_host(host) for host in _read_list(reader.reached)
+            ),
         )
     except (capnp.KjException, ValueError) as error:
         raise exceptions.PeerMalformed(str(error)) from error
--- a/src/banyanshed/gossip.py
+++ b/src/banyanshed/gossip.py
@@ -17,8 +17,8 @@
 from banyanshed import models
 
 INTERVAL_S = 1.0
-"""Time between ticks."""
-
+SUSPECT_AFTER_S = 2.0
+REPLY_TIMEOUT_S = 2.0
 FANOUT = 1
 PUSH_FANOUT = 4
 VIEW_HOSTS = 8
@@ -27,16 +27,16 @@
 ROTATION_TICKS = 8
 RETRY_TICKS = 5
 SEED_QUESTIONS = 2
-MAX_ENTRIES = 8
-MAX_JOIN_ENTRIES = 64
+MAX_ENTRY_UNITS = 14
+MAX_JOIN_UNITS = 64
+MAX_ENTRIES = 80
 MAX_WANTS = 8
 MAX_PROBES = 4
 MAX_RELAYS = 32
 RELAYS_PER_TICK = 2
 MAX_SUSPICIONS = 64
-HELPERS = 3
-SUSPICION_S = 4 * INTERVAL_S
-RESUME_GAP_S = 5 * INTERVAL_S
+HELPERS = 2
+RESUME_GAP_TICKS = 5
 WORD_REFRESH_SHARE = 0.4
 FETCH_TIMEOUT_S = 10.0
 MAX_AHEAD = 8
@@ -58,6 +58,7 @@
             believes something else of it than that it is live.
         wants: Hosts whose profile the sender lacks.
         probes: Hosts that the receiver should ask for the sender.
+        reached: Hosts that replied after the receiver had them asked.
     """
 
     sender: membership.MemberEntry
@@ -68,6 +69,7 @@
     entries: tuple[membership.MemberEntry, ...] = ()
     wants: tuple[models.HostId, ...] = ()
     probes: tuple[models.HostId, ...] = ()
+    reached: tuple[models.HostId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -92,10 +94,12 @@
     Attributes:
         heartbeat: Heartbeat known when it did not answer.
         deadline_s: When it is suspected without news.
+        asked_others: It did not answer a second time; others were asked.
     """
 
     heartbeat: int
     deadline_s: float
+    asked_others: bool = False
 
 
 class Gossip:
@@ -115,6 +119,8 @@
         rng: random.Random,
         store_region: models.RegionId,
         seeds: tuple[str, ...] = (),
+        interval_s: float = INTERVAL_S,
+        suspect_after_s: float = SUSPECT_AFTER_S,
     ):
         """Takes the parts that it keeps up to date.
 
@@ -124,12 +130,17 @@
             rng: Source of random numbers.
             store_region: Region of the table service.
             seeds: Peer addresses from the settings.
+            interval_s: Time between ticks.
+            suspect_after_s: Time without news between a question that got no
+                reply and suspicion; others ask the host in this time.
         """
         self.members = members
         self.freshness = fresh
         self.rng = rng
         self.store_region = store_region
         self.seeds = seeds
+        self.interval_s = interval_s
+        self.suspect_after_s = suspect_after_s
         self.ahead: dict[models.HostId, int] = {}
         self.suspicions: dict[models.HostId, Suspicion] = {}
         self.view: list[models.HostId] = []
@@ -143,14 +154,13 @@
 
     def tick(self, now_s: float) -> list[Question]:
         """Returns the questions of one interval."""
-        if now_s - self._last_tick_s > RESUME_GAP_S:
+        if now_s - self._last_tick_s > RESUME_GAP_TICKS * self.interval_s:
             # This host was paused: silence of the others proves nothing.
             self.suspicions.clear()
         self._last_tick_s = now_s
         self._ticks += 1
         self._expire_suspicions(now_s)
-        for host in self.members.sweep(now_s)[:1]:
-            self._relay(host, None)
+        self.members.sweep(now_s)
         self.freshness.sole_host = (
             self.members.region_sizes[self.store_region] == 1
         )
@@ -163,7 +173,7 @@
     def on_gossip(self, now_s: float, message: GossipMessage) -> GossipMessage:
         """Takes in a peer's question and returns the reply."""
         self._merge(now_s, message)
-        self.members.answer(now_s)
+        self.members.refute()
         sender = message.sender.host
         state = self.members.state(sender)
         if state is models.HostState.SUSPECTED:
@@ -183,6 +193,7 @@
         """
         self._merge(now_s, reply)
         host = reply.sender.host
+        self.suspicions.pop(host, None)
         self.freshness.on_reply(
             sent_s, reply.version, reply.confirmed_age_s, reply.words
         )
@@ -191,10 +202,7 @@
         if asker is None or asker not in self.members.members:
             return []
         answer = self._question(now_s, asker)
-        entry = self.members.members[host].entry()
-        message = dataclasses.replace(
-            answer.message, entries=(entry, *answer.message.entries)
-        )
+        message = dataclasses.replace(answer.message, reached=(host,))
         return [dataclasses.replace(answer, message=message)]
 
     def on_failure(
@@ -211,9 +219,28 @@
         member = self.members.members.get(host)
         if member is None or member.state is models.HostState.SUSPECTED:
             return []
-        if host in self.suspicions or len(self.suspicions) >= MAX_SUSPICIONS:
+        suspicion = self.suspicions.get(host)
+        if suspicion is None:
+            return self._doubt(now_s, host, member.heartbeat)
+        if suspicion.asked_others:
+            return []
+        self.suspicions[host] = Suspicion(
+            suspicion.heartbeat, now_s + self.suspect_after_s, True
+        )
+        return self._ask_helpers(now_s, host)
+
+    def _doubt(
+        self, now_s: float, host: models.HostId, heartbeat: int
+    ) -> list[Question]:
+        """Asks a host that did not answer a second time."""
+        if len(self.suspicions) >= MAX_SUSPICIONS:
             return []
-        self.suspicions[host] = Suspicion(member.heartbeat, now_s + SUSPICION_S)
+        self.suspicions[host] = Suspicion(
+            heartbeat, now_s + 2 * REPLY_TIMEOUT_S
+        )
+        return [self._question(now_s, host)]
+
+    def _ask_helpers(self, now_s: float, host: models.HostId) -> list[Question]:
         helpers: set[models.HostId] = set()
         for _ in range(HELPERS * PICK_TRIES):
             helper = self._pick(None)
@@ -265,8 +292,10 @@
 
     def _merge(self, now_s: float, message: GossipMessage) -> None:
         self.members.merge(now_s, message.sender)
-        for entry in message.entries[:MAX_JOIN_ENTRIES]:
+        for entry in message.entries[:MAX_ENTRIES]:
             self.members.merge(now_s, entry)
+        for host in message.reached[:MAX_PROBES]:
+            self.suspicions.pop(host, None)
         for host in message.wants[:MAX_WANTS]:
             self.members.tell_profile(host)
 
@@ -287,7 +316,8 @@
             if now_s < suspicion.deadline_s:
                 continue
             del self.suspicions[host]
-            self.members.suspect(host, suspicion.heartbeat)
+            if suspicion.asked_others:
+                self.members.suspect(now_s, host, suspicion.heartbeat)
 
     def _relay(self, host: models.HostId, asker: models.HostId | None) -> None:
         if len(self._relays) < MAX_RELAYS:
@@ -306,7 +336,7 @@
             chosen[host] = None
         if self._ticks % RETRY_TICKS == 0:
             member = self.members.random_member()
-            if member.state is models.HostState.SUSPECTED:
+            if member is not self.members.own:
                 chosen[member.profile.host] = None
         return list(chosen)
 
@@ -408,7 +438,7 @@
             receiver = reply_to.sender.host
             joins = 2 * reply_to.known_hosts < len(self.members.members)
         entries = self.members.select_entries(
-            MAX_JOIN_ENTRIES if joins else MAX_ENTRIES, with_profiles=joins
+            MAX_JOIN_UNITS if joins else MAX_ENTRY_UNITS, with_profiles=joins
         )
         about = self.members.members.get(receiver) if receiver else None
         if about and (
--- a/src/banyanshed/membership.py
+++ b/src/banyanshed/membership.py
@@ -1,10 +1,10 @@
 """Known entry hosts and their states, merged from gossip and the host list.
 
 A host's entry is ordered by its heartbeat, a counter that only the host itself
-raises. It raises it each time that it answers a question of a peer, so a
-higher heartbeat proves that the host could be reached. A suspicion names the
-heartbeat that it rests on and yields to any higher one. A replacement under
-the same id has another incarnation; it raises its heartbeat above that of the
+raises: when it was suspected and a peer's question then reached it, which
+proves the suspicion wrong. At the same heartbeat a suspicion outweighs the
+claim to be live, so that old news does not refute it. A replacement under the
+same id has another incarnation; it raises its heartbeat above that of the
 entry it replaces as soon as it hears of it.
 """
 
@@ -17,12 +17,12 @@
 from banyanshed import models
 
 EXPIRY_S = 7200.0
-"""Time without news after which a host that is not listed is forgotten."""
+"""Time after which a host that is neither live nor listed is forgotten."""
 
 SWEEP_HOSTS = 16
-SILENCE_S = 180.0
 NEVER_HEARD = -1
 MAX_RIVALS = 16
+PROFILE_UNITS = 3
 
 STATE_RANKS = {
     models.HostState.LIVE: 0,
@@ -59,7 +59,7 @@
         incarnation: Random id of the process; 0 when never heard.
         heartbeat: Highest heartbeat known; NEVER_HEARD at first.
         state: State by gossip.
-        heard_at_s: When the heartbeat last rose.
+        changed_at_s: When its state or incarnation last changed here.
         listed: The platform's list names the host.
         listed_leaving: The platform's list says that the host is leaving.
     """
@@ -68,7 +68,7 @@
     incarnation: int = 0
     heartbeat: int = NEVER_HEARD
     state: models.HostState = models.HostState.LIVE
-    heard_at_s: float = -math.inf
+    changed_at_s: float = -math.inf
     listed: bool = False
     listed_leaving: bool = False
 
@@ -125,7 +125,7 @@
         """
         self.rng = rng
         self.own = Member(
-            profile, incarnation=incarnation, heartbeat=0, heard_at_s=now_s
+            profile, incarnation=incarnation, heartbeat=0, changed_at_s=now_s
         )
         self.members: dict[models.HostId, Member] = {}
         self.rivals: dict[int, int] = {}
@@ -163,24 +163,22 @@
             if self.state(host) is models.HostState.LIVE
         )
 
-    def answer(self, now_s: float) -> None:
-        """Raises the heartbeat because a peer's question arrived."""
+    def refute(self) -> None:
+        """Outruns suspicions of this host, since a peer's question came."""
         if self._outrun_heartbeat >= self.own.heartbeat:
-            self.own.heartbeat = self._outrun_heartbeat
+            self.own.heartbeat = self._outrun_heartbeat + 1
             self._spread(self.own.profile.host)
-        self.own.heartbeat += 1
-        self.own.heard_at_s = now_s
 
     def leave(self, now_s: float) -> None:
         """Says that this host is leaving."""
         self.own.state = models.HostState.LEAVING
-        self.answer(now_s)
+        self.own.changed_at_s = now_s
         self._spread(self.own.profile.host)
 
     def merge(self, now_s: float, entry: MemberEntry) -> bool:
         """Takes in an entry; returns whether it told anything new."""
         if entry.host == self.own.profile.host:
-            return self._merge_own(now_s, entry)
+            return self._merge_own(entry)
         member = self.members.get(entry.host)
         if member is None:
             return self._merge_unknown(now_s, entry)
@@ -190,26 +188,30 @@
         if replaced and member.incarnation and entry.profile is None:
             self._want(entry.host)
             return False
-        changed = replaced or entry.state is not member.state
-        if entry.heartbeat > member.heartbeat:
-            member.heard_at_s = now_s
+        # First word of a listed host is no news to hosts that know the list.
+        known_anew = replaced and member.incarnation != 0
+        changed = known_anew or entry.state is not member.state
         if entry.profile is not None:
             self._set_profile(member, entry.profile)
         member.incarnation = entry.incarnation
         member.heartbeat = entry.heartbeat
         member.state = entry.state
         if changed:
+            member.changed_at_s = now_s
             self._spread(entry.host)
         return True
 
-    def suspect(self, host: models.HostId, heartbeat: int) -> bool:
-        """Suspects a host unless there was news of it since `heartbeat`."""
+    def suspect(
+        self, now_s: float, host: models.HostId, heartbeat: int
+    ) -> bool:
+        """Suspects a host unless it has outrun `heartbeat`."""
         member = self.members.get(host)
         if member is None or member.heartbeat != heartbeat:
             return False
         if member.state is models.HostState.SUSPECTED:
             return False
         member.state = models.HostState.SUSPECTED
+        member.changed_at_s = now_s
         if heartbeat > NEVER_HEARD:
             self._spread(host)
         return True
@@ -231,51 +233,49 @@
             self.members[host].listed = False
             self.members[host].listed_leaving = False
 
-    def sweep(self, now_s: float) -> list[models.HostId]:
-        """Forgets expired hosts; returns silent ones that want a question.
-
-        Looks at a bounded number of hosts a call, in rotation.
-        """
-        silent = []
+    def sweep(self, now_s: float) -> None:
+        """Forgets expired hosts; looks at a bounded number a call, in turn."""
         for _ in range(min(SWEEP_HOSTS, len(self._order))):
             self._sweep_place = (self._sweep_place + 1) % len(self._order)
             host = self._order[self._sweep_place]
             member = self.members[host]
-            if member is self.own:
+            if member is self.own or member.listed:
                 continue
-            age_s = now_s - member.heard_at_s
-            if not member.listed and age_s > EXPIRY_S:
-                self._remove(host)
+            if member.state is models.HostState.LIVE:
                 continue
-            if member.state is models.HostState.LIVE and age_s > SILENCE_S:
-                silent.append(host)
-        return silent
+            if now_s - member.changed_at_s > EXPIRY_S:
+                self._remove(host)
 
     def random_member(self) -> Member:
         """Returns any known host, this one included, in constant time."""
         return self.members[self.rng.choice(self._order)]
 
     def select_entries(
-        self, max_entries: int, *, with_profiles: bool = False
+        self, max_units: int, *, with_profiles: bool = False
     ) -> list[MemberEntry]:
         """Returns entries to send: changed ones first, then in rotation.
 
         Changes lead, the newest and least-sent of them first, and carry their
-        profile. The rest of the room goes to other hosts in turn.
+        profile unless the host is suspected. The rest of the room goes to
+        other hosts in turn. An entry with a profile takes PROFILE_UNITS of
+        the room, others one.
         """
-        chosen: dict[models.HostId, MemberEntry] = {}
-        for host in self._take_news(max_entries):
-            chosen[host] = self.members[host].entry(with_profile=True)
-        for _ in range(min(max_entries - len(chosen), len(self._order))):
+        entries = []
+        units = max_units
+        for host in self._take_news(max_units):
+            member = self.members[host]
+            with_profile = member.state is not models.HostState.SUSPECTED
+            entries.append(member.entry(with_profile=with_profile))
+            units -= PROFILE_UNITS if with_profile else 1
+        chosen = {entry.host for entry in entries}
+        for _ in range(min(units, len(self._order))):
             self._fill_place = (self._fill_place + 1) % len(self._order)
             member = self.members[self._order[self._fill_place]]
-            host = member.profile.host
-            if member is self.own or host in chosen:
-                continue
-            if member.heartbeat == NEVER_HEARD:
+            if member is self.own or member.heartbeat == NEVER_HEARD:
                 continue
-            chosen[host] = member.entry(with_profile=with_profiles)
-        return list(chosen.values())
+            if member.profile.host not in chosen:
+                entries.append(member.entry(with_profile=with_profiles))
+        return entries
 
     def tell_profile(self, host: models.HostId) -> None:
         """Puts a host among the changes, since a peer lacks its profile."""
@@ -293,10 +293,15 @@
             del self.wanted[host]
         return taken
 
-    def _take_news(self, max_entries: int) -> list[models.HostId]:
+    def _take_news(self, max_units: int) -> list[models.HostId]:
         taken: list[models.HostId] = []
-        for _ in range(min(max_entries, len(self._news))):
-            taken.append(self._news.popleft())
+        units = max_units
+        while self._news and units > 0:
+            host = self._news.popleft()
+            taken.append(host)
+            member = self.members.get(host)
+            suspected = member and member.state is models.HostState.SUSPECTED
+            units -= 1 if suspected else PROFILE_UNITS
         for host in taken:
             self._news_left[host] -= 1
             if self._news_left[host] > 0:
@@ -305,24 +310,23 @@
             del self._news_left[host]
         return [host for host in taken if host in self.members]
 
-    def _merge_own(self, now_s: float, entry: MemberEntry) -> bool:
+    def _merge_own(self, entry: MemberEntry) -> bool:
         if entry.incarnation != self.own.incarnation:
-            return self._merge_rival(now_s, entry)
+            return self._merge_rival(entry)
         if entry.state is not models.HostState.SUSPECTED:
             return False
         # Outrun only once a peer's question shows that this host is reachable.
         self._outrun_heartbeat = max(self._outrun_heartbeat, entry.heartbeat)
-        self._spread(self.own.profile.host)
         return True
 
-    def _merge_rival(self, now_s: float, entry: MemberEntry) -> bool:
+    def _merge_rival(self, entry: MemberEntry) -> bool:
         if entry.heartbeat < self.own.heartbeat:
             return False
         if len(self.rivals) < MAX_RIVALS or entry.incarnation in self.rivals:
             times = self.rivals.get(entry.incarnation, 0)
             self.rivals[entry.incarnation] = times + 1
         self._outrun_heartbeat = max(self._outrun_heartbeat, entry.heartbeat)
-        self.answer(now_s)
+        self.refute()
         return True
 
     def _merge_unknown(self, now_s: float, entry: MemberEntry) -> bool:
@@ -337,7 +341,7 @@
                 incarnation=entry.incarnation,
                 heartbeat=entry.heartbeat,
                 state=entry.state,
-                heard_at_s=now_s,
+                changed_at_s=now_s,
             )
         )
         self._spread(entry.host)
@@ -375,5 +379,5 @@
     def _spread(self, host: models.HostId) -> None:
         if host not in self._news_left:
             self._news.appendleft(host)
-        sends = 3 * math.ceil(math.log2(len(self.members) + 1))
+        sends = 2 * math.ceil(math.log(len(self.members) + 1))
         self._news_left[host] = sends
--- a/src/banyanshed/peer.capnp
+++ b/src/banyanshed/peer.capnp
@@ -81,5 +81,6 @@
   entries @5 :List(MemberEntry);
   wants @6 :List(Text);
   probes @7 :List(Text);
-  loads @8 :List(BackendLoad);
+  reached @8 :List(Text);
+  loads @9 :List(BackendLoad);
 }
--- a/src/banyanshed/peering.py
+++ b/src/banyanshed/peering.py
@@ -132,8 +132,8 @@
                 await self.client.close_idle()
             except Exception:
                 eliot.write_traceback()
-            jitter_s = self.core.rng.uniform(-0.1, 0.1) * gossip.INTERVAL_S
-            await asyncio.sleep(gossip.INTERVAL_S + jitter_s)
+            jitter = self.core.rng.uniform(0.9, 1.1)
+            await asyncio.sleep(self.core.interval_s * jitter)
 
     def _send_all(self, questions: list[gossip.Question]) -> None:
         for question in questions:
