--- a/benchmarks/wires.py
+++ b/benchmarks/wires.py
@@ -31,12 +31,15 @@
         loss: Share of messages lost, each way.
         repeats: Share of messages that arrive twice.
         cut: Tells whether messages from one host to another are lost.
+        deaf: Tells whether questions to a host are lost; replies to its own
+            still come.
     """
 
     delay_s: tuple[float, float] = (0.001, 0.03)
     loss: float = 0.0
     repeats: float = 0.0
     cut: Callable[[models.HostId, models.HostId], bool] = lambda *_: False
+    deaf: Callable[[models.HostId], bool] = lambda _: False
 
 
 @dataclasses.dataclass
@@ -217,6 +220,8 @@
         sent_s: float,
         replied: list[bool],
     ) -> None:
+        if self.wiring.deaf(receiver.profile.host):
+            return
         if not self._is_up(receiver):
             return
         reply = receiver.core.on_gossip(self.now_s, question.message)
--- a/src/banyanshed/membership.py
+++ b/src/banyanshed/membership.py
@@ -326,7 +326,6 @@
             times = self.rivals.get(entry.incarnation, 0)
             self.rivals[entry.incarnation] = times + 1
         self._outrun_heartbeat = max(self._outrun_heartbeat, entry.heartbeat)
-        self.refute()
         return True
 
     def _merge_unknown(self, now_s: float, entry: MemberEntry) -> bool:
