Give each host slots of its own by the units it holds

Cause: with units for just its requests, a host that chooses by itself meets other hosts at the same backend servers.

Change: from the units that each host holds, all hosts work out the same division of slots, by rendezvous hashing with as many slots as units, and use their own first. Two words of the same order: leaving counts.

Ruled out: discounting reports more (they are 2 s old where a request takes 50 ms); smaller subsets (the same chance to meet within them).

The rule for ties came from the state machine: an answer's word at the same moment kept a leaving backend server in use.

--- /dev/null
+++ b/benchmarks/choices.py
@@ -0,0 +1,262 @@
+"""Choice of backend servers by many hosts at once, beside plain policies.
+
+Hosts of one region choose among its backend servers; each has an equal part
+of the region's units, and requests come to hosts with a unit free. Measured
+is how often a request meets a backend server whose slots are all taken, by
+the other hosts' choices: it is shed and has to be tried elsewhere; and how
+often that happens three times. Reports of load are as old as a probe's
+interval. "independent" is the product without word of the hosts' units;
+in "outdated" half of the hosts know them as before each second host gave a
+unit to its neighbour.
+
+Run: python -m benchmarks.choices
+"""
+
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import random
+import time
+
+from banyanshed import backends
+from banyanshed import models
+from banyanshed import requests
+from banyanshed import rows
+
+SERVICE = models.ServiceId("board")
+REGION = models.RegionId("sask")
+PROBE_INTERVAL_S = 2.0
+RUN_S = 20.0
+COST_ROUNDS = 20_000
+SHED = requests.AttemptFailure(models.Ran.NO, "backend_refused")
+ANSWER = requests.Answer(200, {}, b"")
+
+
+@dataclasses.dataclass(frozen=True)
+class Site:
+    """Sizes of one region.
+
+    Attributes:
+        name: Name shown.
+        hosts: Hosts that choose.
+        slots: Slots of each backend server.
+        work_s: Mean time of a request.
+    """
+
+    name: str
+    hosts: int
+    slots: tuple[int, ...]
+    work_s: float
+
+
+POLICIES = (
+    "least reported",
+    "round robin",
+    "independent",
+    "outdated",
+    "banyanshed",
+)
+SITES = (
+    Site("halvorsen, one region", 8, (4, 5, 7, 8, 9), 0.05),
+    Site("kagit-kanat, one region", 8, (3, 4, 4, 3), 0.05),
+    Site("halvorsen, all workers", 25, (4, 5, 6, 7, 8, 9, 9) * 2, 0.05),
+)
+
+
+def make_host(site: Site, number: int) -> backends.Backends:
+    """Returns a host that knows the site's backend servers."""
+    known = backends.Backends(
+        models.HostId(f"host{number}"), random.Random(number)
+    )
+    known.set_hosts(site.hosts)
+    known.configure(
+        0.0,
+        [
+            rows.BackendRow(
+                service=SERVICE,
+                backend=f"b{index}",
+                region=REGION,
+                zone="a",
+                address=f"127.0.0.1:{index + 1}",
+                slots=slots,
+            )
+            for index, slots in enumerate(site.slots)
+        ],
+        1,
+    )
+    return known
+
+
+def divide_units(site: Site) -> dict[models.HostId, int]:
+    """Returns equal parts of the slots, as units of each host."""
+    part, rest = divmod(sum(site.slots), site.hosts)
+    return {
+        models.HostId(f"host{number}"): part + (number < rest)
+        for number in range(site.hosts)
+    }
+
+
+def move_units(
+    units: dict[models.HostId, int],
+) -> dict[models.HostId, int]:
+    """Returns the units with one more at each second host."""
+    moved = dict(units)
+    names = list(units)
+    for source, target in zip(names[::2], names[1::2], strict=False):
+        moved[source] -= 1
+        moved[target] += 1
+    return moved
+
+
+class Trial:
+    """Requests of all hosts at a given share of all slots.
+
+    Attributes:
+        arrived: Requests that found a unit.
+        shed: Choices that met a backend server without a free slot.
+        lost: Requests shed three times.
+    """
+
+    def __init__(self, site: Site, share: float, policy: str):
+        """Starts idle."""
+        self.site = site
+        self.policy = policy
+        self.rng = random.Random(7)
+        self.hosts = [make_host(site, n) for n in range(site.hosts)]
+        self.slots = {f"b{i}": slots for i, slots in enumerate(site.slots)}
+        self.busy = dict.fromkeys(self.slots, 0)
+        self.reported = dict.fromkeys(self.slots, 0)
+        self.units = divide_units(site)
+        if policy in ("banyanshed", "outdated"):
+            for host in self.hosts:
+                host.set_units(SERVICE, REGION, self.units)
+        if policy == "outdated":
+            for host in self.hosts[::2]:
+                host.set_units(SERVICE, REGION, move_units(self.units))
+        self.rate = share * sum(site.slots) / site.work_s
+        self.turns = itertools.count()
+        self.events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.order = itertools.count()
+        self.arrived = self.shed = self.lost = 0
+
+    def at(self, when_s: float, act: Callable[[float], None]) -> None:
+        """Plans an act."""
+        heapq.heappush(self.events, (when_s, next(self.order), act))
+
+    def run(self) -> None:
+        """Runs for RUN_S of simulated time."""
+        self.at(0.0, self.arrive)
+        for number in range(self.site.hosts):
+            self.at(PROBE_INTERVAL_S * self.rng.random(), self.probe(number))
+        while self.events[0][0] < RUN_S:
+            now_s, _, act = heapq.heappop(self.events)
+            act(now_s)
+
+    def probe(self, number: int) -> Callable[[float], None]:
+        """Returns an act that probes all backend servers for a host."""
+
+        def act(now_s: float) -> None:
+            self.at(now_s + PROBE_INTERVAL_S, act)
+            for name, slots in self.slots.items():
+                report = backends.LoadReported(
+                    SERVICE,
+                    models.BackendId(name),
+                    self.busy[name],
+                    slots,
+                    now_s,
+                )
+                self.hosts[number].handle(report, now_s)
+            self.reported = dict(self.busy)
+
+        return act
+
+    def arrive(self, now_s: float) -> None:
+        """A request arrives at a random host."""
+        self.at(now_s + self.rng.expovariate(self.rate), self.arrive)
+        free = [host for host in self.hosts if self.has_unit(host)]
+        if not free:
+            return
+        self.arrived += 1
+        host = self.rng.choice(free)
+        tried: set[models.BackendId] = set()
+        for _ in range(3):
+            attempt = self.choose(host, now_s, tried)
+            if attempt is None:
+                break
+            name = attempt.target.backend
+            if self.busy[name] < self.slots[name]:
+                self.start(host, attempt, now_s)
+                return
+            self.shed += 1
+            tried.add(name)
+            host.handle(backends.AttemptFinished(attempt, SHED), now_s)
+        self.lost += 1
+
+    def has_unit(self, host: backends.Backends) -> bool:
+        """Returns whether a host has a unit free."""
+        in_flight = sum(known.in_flight for known in host.known.values())
+        return in_flight < self.units[host.host]
+
+    def start(
+        self, host: backends.Backends, attempt: backends.Attempt, now_s: float
+    ) -> None:
+        """A backend server takes a request."""
+        name = attempt.target.backend
+        self.busy[name] += 1
+
+        def end(end_s: float) -> None:
+            self.busy[name] -= 1
+            host.handle(backends.AttemptFinished(attempt, ANSWER), end_s)
+
+        work_s = self.rng.expovariate(1 / self.site.work_s)
+        self.at(now_s + work_s, end)
+
+    def choose(
+        self,
+        host: backends.Backends,
+        now_s: float,
+        tried: set[models.BackendId],
+    ) -> backends.Attempt | None:
+        """Returns an attempt by the policy measured."""
+        if self.policy in ("banyanshed", "outdated", "independent"):
+            return host.choose(now_s, SERVICE, REGION, tried)
+        names = [name for name in self.slots if name not in tried]
+        if self.policy == "round robin":
+            name = names[next(self.turns) % len(names)]
+        else:
+            name = min(names, key=lambda n: self.reported[n] / self.slots[n])
+        others = {models.BackendId(n) for n in self.slots if n != name}
+        return host.choose(now_s, SERVICE, REGION, others)
+
+
+def measure_cost() -> None:
+    """Prints the processor time of a choice and its end."""
+    host = make_host(SITES[2], 1)
+    start_s = time.process_time()
+    for number in range(COST_ROUNDS):
+        now_s = number / 1000
+        attempt = host.choose(now_s, SERVICE, REGION)
+        if attempt is not None:
+            host.handle(backends.AttemptFinished(attempt, ANSWER), now_s)
+    cost_us = (time.process_time() - start_s) / COST_ROUNDS * 1e6
+    print(f"choice among 14 and its end: {cost_us:.1f} us")
+
+
+def run() -> None:
+    """Prints shed and lost requests by site, load and policy."""
+    measure_cost()
+    for site in SITES:
+        for share in (0.7, 0.9):
+            for policy in POLICIES:
+                trial = Trial(site, share, policy)
+                trial.run()
+                print(
+                    f"{site.name:<24} load {share:.0%}  {policy:<15} "
+                    f"shed {trial.shed / trial.arrived:7.2%}  "
+                    f"lost {trial.lost / trial.arrived:7.2%}"
+                )
+
+
+if __name__ == "__main__":
+    run()
--- a/src/banyanshed/backends.py
+++ b/src/banyanshed/backends.py
@@ -6,7 +6,7 @@
 that the backend server is leaving.
 """
 
-from collections.abc import Iterable, Iterator, Set
+from collections.abc import Iterable, Iterator, Mapping, Set
 import dataclasses
 import enum
 import functools
@@ -19,6 +19,7 @@
 from banyanshed import models
 from banyanshed import requests
 from banyanshed import rows
+from banyanshed import slots
 
 REPORT_LIFE_S = 3.0
 SLOW_START_S = 10.0
@@ -213,9 +214,14 @@
     def hear(
         self, sign: Sign, state: models.BackendState, order: float
     ) -> None:
-        """Takes a word; the same source's older ones change nothing."""
+        """Takes a word; the same source's older ones change nothing.
+
+        Of two words of the same order, leaving counts.
+        """
         last = self.signs.get(sign)
-        if last is None or order > last.order:
+        tied = last is not None and order == last.order
+        leaving = state is models.BackendState.LEAVING
+        if last is None or order > last.order or (tied and leaving):
             self.signs[sign] = Word(state, order)
 
     def ejected(self, now_s: float) -> bool:
@@ -229,16 +235,16 @@
 
     def load(self, now_s: float) -> float:
         """Expected load of its slots with one request more."""
-        slots = self.row.slots
+        usable = self.row.slots
         others = 0.0
         if self.report is not None:
             age_s = max(0.0, now_s - self.report.asked_s)
             weight = max(0.0, 1 - age_s / REPORT_LIFE_S)
             if weight > 0:
-                slots = max(1, min(slots, self.report.slots))
+                usable = max(1, min(usable, self.report.slots))
             reported = min(self.report.in_flight, self.row.slots)
             others = weight * max(0, reported - self.own_at_report)
-        return (self.in_flight + 1 + others) / (slots * self.warmth(now_s))
+        return (self.in_flight + 1 + others) / (usable * self.warmth(now_s))
 
     def target(self) -> requests.Target:
         """Returns the target of an attempt."""
@@ -250,13 +256,26 @@
 
 
 class Pool:
-    """The backend servers of a service in a region."""
+    """The backend servers of a service in a region.
+
+    Attributes:
+        backends: All of them.
+        subset: Live ones that this host uses; None when not worked out.
+        plan: Sizes of the subset.
+        own: Slots to use first; None when not worked out.
+    """
 
     def __init__(self) -> None:
         """Starts empty."""
         self.backends: dict[models.BackendId, Backend] = {}
         self.subset: list[Backend] | None = None
         self.plan = SubsetPlan(0, 1)
+        self.own: dict[models.BackendId, int] | None = None
+
+    def forget(self) -> None:
+        """Has the subset and own slots worked out again."""
+        self.subset = None
+        self.own = None
 
 
 class Backends:
@@ -276,6 +295,7 @@
         self.registrations = 0
         self.configured = False
         self.pools: dict[tuple[str, str], Pool] = {}
+        self.units: dict[tuple[str, str], dict[models.HostId, int]] = {}
         self.known: dict[tuple[str, str], Backend] = {}
         # Removed ones whose attempts still hold slots.
         self.removed: dict[tuple[str, str], Backend] = {}
@@ -331,9 +351,43 @@
         self.hosts = max(1, count)
         self._forget_subsets()
 
+    def set_units(
+        self,
+        service: models.ServiceId,
+        region: models.RegionId,
+        units: Mapping[models.HostId, int],
+    ) -> None:
+        """Takes the units of a placement that each host holds.
+
+        Hosts that know the same units use different slots. Without units,
+        or with old ones, hosts choose independently.
+        """
+        if self.units.get((service, region)) == units:
+            return
+        self.units[service, region] = dict(units)
+        pool = self.pools.get((service, region))
+        if pool is not None:
+            pool.own = None
+
+    def _own_slots(
+        self, service: models.ServiceId, region: models.RegionId
+    ) -> dict[models.BackendId, int]:
+        pool = self.pools.get((service, region))
+        units = self.units.get((service, region))
+        if pool is None or not units:
+            return {}
+        if pool.own is None:
+            counts = {
+                name: backend.row.slots
+                for name, backend in pool.backends.items()
+                if not backend.leaving
+            }
+            pool.own = slots.own_slots(self.host, counts, units)
+        return pool.own
+
     def _forget_subsets(self) -> None:
         for pool in self.pools.values():
-            pool.subset = None
+            pool.forget()
 
     def subset(
         self, service: models.ServiceId, region: models.RegionId
@@ -357,13 +411,15 @@
     def probed(self) -> Iterator[Backend]:
         """Yields backend servers whose health this host should ask for.
 
-        These are its subsets, and leaving ones, which may come back.
+        These are the ones it uses, and leaving ones, which may come back.
         """
-        for service, region in list(self.pools):
-            yield from self.subset(
-                models.ServiceId(service), models.RegionId(region)
-            )
-        yield from [b for b in self.known.values() if b.leaving]
+        for (service, region), pool in list(self.pools.items()):
+            place = (models.ServiceId(service), models.RegionId(region))
+            used = {b.row.backend for b in self.subset(*place)}
+            used.update(self._own_slots(*place))
+            for name, backend in pool.backends.items():
+                if name in used or backend.leaving:
+                    yield backend
 
     def choose(
         self,
@@ -383,16 +439,46 @@
         Returns:
             The attempt, whose slot is held; None when none has a free slot.
         """
+        free = self._free_own(service, region, exclude)
+        if not free:
+            free = self._free_shared(now_s, service, region, exclude)
+        if not free:
+            return None
+        pair = self.rng.sample(free, min(2, len(free)))
+        best = min(pair, key=lambda backend: backend.load(now_s))
+        best.in_flight += 1
+        return Attempt(service, best.target(), best.registration, now_s)
+
+    def _free_own(
+        self,
+        service: models.ServiceId,
+        region: models.RegionId,
+        exclude: Set[models.BackendId],
+    ) -> list[Backend]:
+        """Returns healthy backend servers with a free slot of this host."""
+        free = []
+        for name, count in self._own_slots(service, region).items():
+            backend = self.pools[service, region].backends[name]
+            if name in exclude or backend.returning:
+                continue
+            if backend.in_flight < count and not backend.leaving:
+                free.append(backend)
+        return free
+
+    def _free_shared(
+        self,
+        now_s: float,
+        service: models.ServiceId,
+        region: models.RegionId,
+        exclude: Set[models.BackendId],
+    ) -> list[Backend]:
+        """Returns backend servers of the subset that may have a free slot."""
         subset = [
             backend
             for backend in self.subset(service, region)
             if backend.row.backend not in exclude
         ]
-        healthy = [
-            backend
-            for backend in subset
-            if not backend.ejected(now_s) and not backend.returning
-        ]
+        healthy = [backend for backend in subset if not backend.returning]
         returning = [
             backend
             for backend in subset
@@ -404,17 +490,11 @@
         candidates = healthy + returning or subset
         pool = self.pools.get((service, region))
         most = pool.plan.connections if pool else 0
-        free = [
+        return [
             backend
             for backend in candidates
             if backend.in_flight < min(backend.row.slots, most)
         ]
-        if not free:
-            return None
-        pair = self.rng.sample(free, min(2, len(free)))
-        best = min(pair, key=lambda backend: backend.load(now_s))
-        best.in_flight += 1
-        return Attempt(service, best.target(), best.registration, now_s)
 
     @functools.singledispatchmethod
     def handle(self, event: Any, now_s: float) -> None:
--- /dev/null
+++ b/src/banyanshed/slots.py
@@ -0,0 +1,63 @@
+"""Division of backend servers' slots between the hosts that hold units.
+
+A unit lets a host have one request at work in a region, but does not say on
+which backend server; hosts that choose independently meet at the same ones
+and are shed. From the grants of units, which all hosts read, each host works
+out the same division of slots, and uses its own slots first. The division
+only orders choices: hosts that read different grants meet sometimes, and
+break no limit.
+"""
+
+from collections.abc import Iterator, Mapping
+
+import xxhash
+
+from banyanshed import models
+
+
+def own_slots(
+    host: models.HostId,
+    slots: Mapping[models.BackendId, int],
+    units: Mapping[models.HostId, int],
+) -> dict[models.BackendId, int]:
+    """Returns how many slots of each backend server are this host's own.
+
+    Each slot goes to the host that ranks highest for it by rendezvous
+    hashing and has units left, so that each host gets as many slots as it
+    has units, and few slots change hands when units move.
+
+    Args:
+        host: This host.
+        slots: Slots of each backend server that takes work.
+        units: Units of each host.
+    """
+    left = {name: count for name, count in units.items() if count > 0}
+    own: dict[models.BackendId, int] = {}
+    for backend, index in _spread(slots):
+        if host not in left:
+            break
+        suffix = f"\0{backend}\0{index}"
+        holder = max(left, key=lambda name: _rank(name + suffix))
+        left[holder] -= 1
+        if left[holder] == 0:
+            del left[holder]
+        if holder == host:
+            own[backend] = own.get(backend, 0) + 1
+    return own
+
+
+def _rank(key: str) -> int:
+    return xxhash.xxh64_intdigest(key.encode())
+
+
+def _spread(
+    slots: Mapping[models.BackendId, int],
+) -> Iterator[tuple[models.BackendId, int]]:
+    """Yields all slots, so that any number of first ones is spread evenly."""
+    places = [
+        ((index + 0.5) / count, backend, index)
+        for backend, count in slots.items()
+        for index in range(count)
+    ]
+    for _, backend, index in sorted(places):
+        yield backend, index
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,50 @@
+import collections
+
+import hypothesis
+from hypothesis import strategies as st
+
+from banyanshed import slots
+
+SLOTS = st.dictionaries(
+    st.sampled_from("abcdef"), st.integers(1, 9), min_size=1
+)
+UNITS = st.dictionaries(st.sampled_from("ABCDEFGH"), st.integers(0, 12))
+
+
+def divide(counts, units):
+    return {host: slots.own_slots(host, counts, units) for host in units}
+
+
+@hypothesis.given(SLOTS, UNITS)
+def test_each_slot_has_one_host_and_each_unit_a_slot(counts, units):
+    owned = divide(counts, units)
+    per_backend = collections.Counter()
+    for host, own in owned.items():
+        per_backend.update(own)
+        assert sum(own.values()) <= units[host]
+    assert all(per_backend[name] <= counts[name] for name in counts)
+    total = sum(per_backend.values())
+    assert total == min(sum(units.values()), sum(counts.values()))
+
+
+def test_fewer_units_than_slots_use_all_backend_servers_evenly():
+    counts = {"a": 4, "b": 4, "c": 8}
+    per_backend = collections.Counter()
+    for own in divide(counts, {"A": 3, "B": 5}).values():
+        per_backend.update(own)
+    assert per_backend == {"a": 2, "b": 2, "c": 4}
+
+
+def test_moved_unit_moves_few_slots():
+    counts = {f"b{number}": 4 + number % 6 for number in range(14)}
+    units = {f"h{number}": 3 for number in range(25)}
+    before = divide(counts, units)
+    units["h3"] -= 1
+    units["h7"] += 1
+    after = divide(counts, units)
+    moved = 0
+    for host in units:
+        lost = collections.Counter(before[host])
+        lost.subtract(after[host])
+        moved += sum(count for count in lost.values() if count > 0)
+    assert 1 <= moved <= 6
