Hand the grants of units to the choice of backend servers

Cause: the division of slots needs the units of all hosts.

Change: UnitWatch compares the versions of the share rows that this host has read, and traffic hands changed grants on at each tick. Units of a host's several sessions are added up.

Ruled out: gossip of units: the rows are read anyway, every few seconds.

--- a/src/banyanshed/slots.py
+++ b/src/banyanshed/slots.py
@@ -8,11 +8,58 @@
 break no limit.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
+import dataclasses
 
 import xxhash
 
+from banyanshed import leases
 from banyanshed import models
+from banyanshed import shares
+
+
+@dataclasses.dataclass(frozen=True)
+class PlacementUnits:
+    """Units of a placement that each host holds."""
+
+    service: models.ServiceId
+    region: models.RegionId
+    units: Mapping[models.HostId, int]
+
+
+class UnitWatch:
+    """Notices changes in the grants of units that this host has read."""
+
+    def __init__(self) -> None:
+        """Starts without having seen any."""
+        self.versions: dict[shares.LimitKey, int] = {}
+
+    def changes(self, holder: leases.ShareHolder) -> Iterator[PlacementUnits]:
+        """Yields the placements whose grants are newer than the last seen."""
+        for names, held in holder.placements.items():
+            service, region = names
+            key = held.limit.key
+            row = holder.rows.get(key)
+            if row is None or self.versions.get(key) == row.version:
+                continue
+            self.versions[key] = row.version
+            share = shares.parse_share(held.limit, row.value)
+            if isinstance(share, shares.UnitShare):
+                units = units_by_host(share.grants)
+                yield PlacementUnits(
+                    models.ServiceId(service), models.RegionId(region), units
+                )
+
+
+def units_by_host(
+    grants: Iterable[shares.UnitGrant],
+) -> dict[models.HostId, int]:
+    """Returns the units of each host, over all of its sessions."""
+    units: dict[models.HostId, int] = {}
+    for grant in grants:
+        host = models.HostId(grant.session.rpartition("/")[0])
+        units[host] = units.get(host, 0) + grant.units
+    return units
 
 
 def own_slots(
--- a/src/banyanshed/traffic.py
+++ b/src/banyanshed/traffic.py
@@ -26,6 +26,7 @@
 from banyanshed import rows
 from banyanshed import serving
 from banyanshed import settings as settings_module
+from banyanshed import slots
 from banyanshed import waiting
 
 HEAD_BYTES = 512
@@ -99,6 +100,7 @@
                 models.RegionId(settings.region), shares, self.backends
             )
         )
+        self.unit_watch = slots.UnitWatch()
         self.budget = retries.RetryBudget()
         self.queue = waiting.WaitQueue(rng, settings.waiting_limit)
         self.delayed: list[tuple[float, int, str]] = []
@@ -416,8 +418,16 @@
         while self.delayed and self.delayed[0][0] <= now_s:
             _, _, ticket = heapq.heappop(self.delayed)
             self._place_or_wait(self.serving[ticket], now_s)
+        self._divide_slots()
         self._serve_waiting(now_s)
 
+    def _divide_slots(self) -> None:
+        """Tells the backend servers' record of hosts whose units changed."""
+        for changed in self.unit_watch.changes(self.shares):
+            self.backends.set_units(
+                changed.service, changed.region, changed.units
+            )
+
     def _serve_waiting(self, now_s: float) -> None:
         if not self.queue.waiters:
             return
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -3,7 +3,10 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from banyanshed import shares
 from banyanshed import slots
+from standins import memory
+from tests import test_leases
 
 SLOTS = st.dictionaries(
     st.sampled_from("abcdef"), st.integers(1, 9), min_size=1
@@ -48,3 +51,21 @@
         lost.subtract(after[host])
         moved += sum(count for count in lost.values() if count > 0)
     assert 1 <= moved <= 6
+
+
+def test_hosts_read_the_same_units_from_the_grants():
+    table = memory.MemoryTable()
+    holders = [test_leases.make_holder(name) for name in "AB"]
+    test_leases.run(holders, table, 0.0, 30.0)
+    key = shares.placement_key(test_leases.BOOKINGS, test_leases.SASK)
+    expected = {
+        grant["session"].split("/")[0]: grant["units"]
+        for grant in table.rows[key].value["grants"]
+    }
+    assert expected.keys() == {"A", "B"}
+    for holder in holders:
+        watch = slots.UnitWatch()
+        (changed,) = watch.changes(holder)
+        assert (changed.service, changed.region) == ("bookings", "sask")
+        assert changed.units == expected
+        assert not list(watch.changes(holder))
