--- /dev/null
+++ b/src/banyanshed/connections.py
@@ -0,0 +1,144 @@
+"""Connections to backend servers: one deadline, and a record of their end.
+
+The parts of urllib3 and http.client that are kept read answers; what they do
+not notice is recorded here: the end of the stream within an answer, bytes
+after it, and a request that was not sent whole.
+"""
+
+import contextlib
+import http.client
+import io
+import socket
+import time
+from typing import Any
+
+from urllib3 import connection
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class AnswerReader(io.BufferedReader):
+    """Buffered reader of one answer that notices bytes after its end."""
+
+    def __init__(self, raw: io.RawIOBase, wire: "DeadlineSocket"):
+        """Reads from `raw`, the unbuffered file of the socket `wire`."""
+        super().__init__(raw)
+        self.wire = wire
+
+    def close(self) -> None:
+        """Closes the reader; records whether bytes were left in it."""
+        if not self.closed:
+            self.wire.reading = False
+            try:
+                surplus = bool(self.peek(1))
+            except OSError:
+                # Reading timed out, so that the answer is outstanding.
+                surplus = True
+            self.wire.surplus = self.wire.surplus or surplus
+        super().close()
+
+
+class DeadlineSocket(socket.socket):
+    """Socket whose operations share one deadline, and that records its end.
+
+    Attributes:
+        deadline_s: Monotonic time at which operations time out.
+        reading: False once the answer has been read to its end.
+        sent: Bytes of the request were handed to the socket.
+        send_failed: The request was not sent whole.
+        ended: The peer ended the stream while the answer was being read.
+        surplus: Bytes followed the answer.
+    """
+
+    def __init__(self, fileno: int):
+        """Takes over the descriptor of a connected socket."""
+        super().__init__(fileno=fileno)
+        self.start(0.0)
+
+    def start(self, deadline_s: float) -> None:
+        """Prepares for one request and its answer."""
+        self.deadline_s = deadline_s
+        self.reading = True
+        self.sent = False
+        self.send_failed = False
+        self.ended = False
+        self.surplus = False
+
+    def apply_deadline(self) -> None:
+        """Allows the next operation the time left; raises TimeoutError."""
+        left_s = self.deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("deadline passed")
+        self.settimeout(left_s)
+
+    def sendall(self, data: Any, flags: int = 0) -> None:
+        """Sends all data before the deadline."""
+        self.apply_deadline()
+        self.sent = True
+        try:
+            super().sendall(data, flags)
+        except OSError:
+            self.send_failed = True
+            raise
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Receives some bytes before the deadline; 0 at the end."""
+        if not self.reading:
+            return 0
+        self.apply_deadline()
+        count = super().recv_into(buffer, nbytes, flags)
+        if count == 0:
+            self.ended = True
+        return count
+
+    def makefile(self, *args: Any, **kwargs: Any) -> Any:
+        """Returns the reader of one answer."""
+        return AnswerReader(super().makefile("rb", buffering=0), self)
+
+
+class BackendConnection(connection.HTTPConnection):
+    """Connection to a backend server.
+
+    Attributes:
+        wire: Its socket; stays here when the answer closes the connection.
+        fresh: No answer has been read from it.
+        idle_since_s: Monotonic time of its last answer.
+    """
+
+    wire: DeadlineSocket
+    fresh = True
+    idle_since_s = 0.0
+
+    def connect(self) -> None:
+        """Connects; raises urllib3's errors before any byte is sent."""
+        super().connect()
+        self.wire = DeadlineSocket(self.sock.detach())
+        self.sock = self.wire
+
+    def receive(self) -> http.client.HTTPResponse:
+        """Returns the head of an answer, without urllib3's wrapper.
+
+        The wrapper decodes, retries and pools, none of which is wanted here,
+        at the cost of a quarter of the whole exchange.
+        """
+        return super(connection.HTTPConnection, self).getresponse()
+
+
+def open_connection(address: str, deadline_s: float) -> BackendConnection:
+    """Opens a connection to "IP:port"; raises urllib3's errors."""
+    name, _, port = address.rpartition(":")
+    left_s = max(0.001, deadline_s - time.monotonic())
+    conn = BackendConnection(
+        name.strip("[]"), int(port), timeout=min(CONNECT_TIMEOUT_S, left_s)
+    )
+    conn.connect()
+    return conn
+
+
+def close_connection(conn: BackendConnection) -> None:
+    """Closes a connection, also where a reader of it is left over."""
+    # Without shutdown the descriptor lives on as long as its reader.
+    with contextlib.suppress(OSError):
+        conn.wire.shutdown(socket.SHUT_RDWR)
+    conn.close()
+    conn.wire.close()
--- a/src/banyanshed/forwarding.py
+++ b/src/banyanshed/forwarding.py
@@ -9,20 +9,17 @@
 
 import collections
 from collections.abc import Iterable, Mapping
-import contextlib
 import dataclasses
 import http.client
-import io
-import socket
 import threading
 import time
-from typing import Any, Self
+from typing import Self
 
 import pydantic
 import urllib3
-from urllib3 import connection
 from urllib3 import exceptions as urllib3_exceptions
 
+from banyanshed import connections
 from banyanshed import models
 from banyanshed import requests
 
@@ -36,7 +33,6 @@
 RAN_FIELD = RAN_HEADER.lower()
 LEAVING_FIELD = LEAVING_HEADER.lower()
 
-CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 20.0
 PROBE_BYTES = 4096
 
@@ -63,113 +59,6 @@
 )
 
 
-class AnswerReader(io.BufferedReader):
-    """Buffered reader of one answer that notices bytes after its end."""
-
-    def __init__(self, raw: io.RawIOBase, wire: "DeadlineSocket"):
-        """Reads from `raw`, the unbuffered file of the socket `wire`."""
-        super().__init__(raw)
-        self.wire = wire
-
-    def close(self) -> None:
-        """Closes the reader; records whether bytes were left in it."""
-        if not self.closed:
-            self.wire.reading = False
-            try:
-                surplus = bool(self.peek(1))
-            except OSError:
-                # Reading timed out, so that the answer is outstanding.
-                surplus = True
-            self.wire.surplus = self.wire.surplus or surplus
-        super().close()
-
-
-class DeadlineSocket(socket.socket):
-    """Socket whose operations share one deadline, and that records its end.
-
-    Attributes:
-        deadline_s: Monotonic time at which operations time out.
-        reading: False once the answer has been read to its end.
-        sent: Bytes of the request were handed to the socket.
-        send_failed: The request was not sent whole.
-        ended: The peer ended the stream while the answer was being read.
-        surplus: Bytes followed the answer.
-    """
-
-    def __init__(self, fileno: int):
-        """Takes over the descriptor of a connected socket."""
-        super().__init__(fileno=fileno)
-        self.start(0.0)
-
-    def start(self, deadline_s: float) -> None:
-        """Prepares for one request and its answer."""
-        self.deadline_s = deadline_s
-        self.reading = True
-        self.sent = False
-        self.send_failed = False
-        self.ended = False
-        self.surplus = False
-
-    def apply_deadline(self) -> None:
-        """Allows the next operation the time left; raises TimeoutError."""
-        left_s = self.deadline_s - time.monotonic()
-        if left_s <= 0:
-            raise TimeoutError("deadline passed")
-        self.settimeout(left_s)
-
-    def sendall(self, data: Any, flags: int = 0) -> None:
-        """Sends all data before the deadline."""
-        self.apply_deadline()
-        self.sent = True
-        try:
-            super().sendall(data, flags)
-        except OSError:
-            self.send_failed = True
-            raise
-
-    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
-        """Receives some bytes before the deadline; 0 at the end."""
-        if not self.reading:
-            return 0
-        self.apply_deadline()
-        count = super().recv_into(buffer, nbytes, flags)
-        if count == 0:
-            self.ended = True
-        return count
-
-    def makefile(self, *args: Any, **kwargs: Any) -> Any:
-        """Returns the reader of one answer."""
-        return AnswerReader(super().makefile("rb", buffering=0), self)
-
-
-class BackendConnection(connection.HTTPConnection):
-    """Connection to a backend server.
-
-    Attributes:
-        wire: Its socket; stays here when the answer closes the connection.
-        fresh: No answer has been read from it.
-        idle_since_s: Monotonic time of its last answer.
-    """
-
-    wire: DeadlineSocket
-    fresh = True
-    idle_since_s = 0.0
-
-    def connect(self) -> None:
-        """Connects; raises urllib3's errors before any byte is sent."""
-        super().connect()
-        self.wire = DeadlineSocket(self.sock.detach())
-        self.sock = self.wire
-
-    def receive(self) -> http.client.HTTPResponse:
-        """Returns the head of an answer, without urllib3's wrapper.
-
-        The wrapper decodes, retries and pools, none of which is wanted here,
-        at the cost of a quarter of the whole exchange.
-        """
-        return super(connection.HTTPConnection, self).getresponse()
-
-
 class Forwarder:
     """Sends requests to backend servers over kept connections.
 
@@ -180,7 +69,9 @@
 
     def __init__(self) -> None:
         """Starts without connections."""
-        self.idle: dict[str, collections.deque[BackendConnection]] = {}
+        self.idle: dict[
+            str, collections.deque[connections.BackendConnection]
+        ] = {}
         self.opened = 0
         self.closed = False
         self.lock = threading.Lock()
@@ -254,7 +145,7 @@
 
     def exchange(
         self,
-        conn: BackendConnection,
+        conn: connections.BackendConnection,
         request: requests.CallerRequest,
         headers: Mapping[str, str],
         answer_bytes: int,
@@ -299,7 +190,9 @@
         kept = urllib3.HTTPHeaderDict(end_to_end(received))
         return requests.Answer(response.status, kept, body, leaving)
 
-    def take(self, address: str, deadline_s: float) -> BackendConnection:
+    def take(
+        self, address: str, deadline_s: float
+    ) -> connections.BackendConnection:
         """Returns an idle connection that is still open, or a new one."""
         oldest_s = time.monotonic() - IDLE_CONNECTION_S
         while True:
@@ -308,18 +201,20 @@
                 conn = stack.pop() if stack else None
             if conn is None:
                 self.opened += 1
-                return open_connection(address, deadline_s)
+                return connections.open_connection(address, deadline_s)
             # A readable idle connection was closed or holds stray bytes.
             if conn.idle_since_s > oldest_s and conn.is_connected:
                 return conn
             conn.close()
 
-    def give_back(self, address: str, conn: BackendConnection) -> None:
+    def give_back(
+        self, address: str, conn: connections.BackendConnection
+    ) -> None:
         """Keeps a connection for reuse, or closes it."""
         wire = conn.wire
         unclean = wire.ended or wire.surplus or wire.send_failed or wire.reading
         if conn.fresh or unclean or conn.sock is None:
-            close_connection(conn)
+            connections.close_connection(conn)
             return
         now_s = time.monotonic()
         conn.idle_since_s = now_s
@@ -332,29 +227,9 @@
                 if now_s - stack[0].idle_since_s > IDLE_CONNECTION_S:
                     stale = stack.popleft()
         if not kept:
-            close_connection(conn)
+            connections.close_connection(conn)
         if stale is not None:
-            close_connection(stale)
-
-
-def open_connection(address: str, deadline_s: float) -> BackendConnection:
-    """Opens a connection to "IP:port"; raises urllib3's errors."""
-    name, _, port = address.rpartition(":")
-    left_s = max(0.001, deadline_s - time.monotonic())
-    conn = BackendConnection(
-        name.strip("[]"), int(port), timeout=min(CONNECT_TIMEOUT_S, left_s)
-    )
-    conn.connect()
-    return conn
-
-
-def close_connection(conn: BackendConnection) -> None:
-    """Closes a connection, also where a reader of it is left over."""
-    # Without shutdown the descriptor lives on as long as its reader.
-    with contextlib.suppress(OSError):
-        conn.wire.shutdown(socket.SHUT_RDWR)
-    conn.close()
-    conn.wire.close()
+            connections.close_connection(stale)
 
 
 def request_headers(
@@ -485,7 +360,7 @@
     """
     deadline_s = time.monotonic() + timeout_s
     try:
-        conn = open_connection(address, deadline_s)
+        conn = connections.open_connection(address, deadline_s)
     except urllib3_exceptions.NewConnectionError as error:
         refused = isinstance(error.__cause__, ConnectionRefusedError)
         return ProbeResult(None, refused=refused, code="connect_failed")
@@ -499,13 +374,15 @@
         state = health.state if health else None
         return ProbeResult(state, code="no_load" if health else "no_health")
     finally:
-        close_connection(conn)
+        connections.close_connection(conn)
     return ProbeResult(
         either_state(health.state, load.state), load.in_flight, load.slots
     )
 
 
-def ask(conn: BackendConnection, path: str, deadline_s: float) -> ProbeDocument:
+def ask(
+    conn: connections.BackendConnection, path: str, deadline_s: float
+) -> ProbeDocument:
     """Returns the JSON document of an endpoint; raises EXCHANGE_ERRORS."""
     if conn.sock is None:
         conn.connect()
