Group the ledger's writes when many wait

Cause: a booking costs two transactions (claim, record), and the table service takes several hundred writes a second.

Change: while four commits of a host are under way, further ones wait and go together; refused ones are left out and the rest committed again.

A linger before each commit: it would delay also the lone booking.

--- a/src/banyanshed/ledger.py
+++ b/src/banyanshed/ledger.py
@@ -11,6 +11,7 @@
 import uuid
 
 from banyanshed import claims
+from banyanshed import commits
 from banyanshed import exceptions
 from banyanshed import models
 from banyanshed import platform
@@ -59,7 +60,7 @@
         clock: Callable[[], float] = time.monotonic,
     ):
         """Takes the platform's services and a monotonic clock in seconds."""
-        self.table = table
+        self.table: platform.Table = commits.GroupCommit(table)
         self.objects = objects
         self.clock = clock
         self.store_clock = claims.StoreClock()
--- /dev/null
+++ b/tests/test_commits.py
@@ -0,0 +1,115 @@
+import threading
+
+import pytest
+
+from banyanshed import commits
+from banyanshed import exceptions
+from banyanshed import models
+from tests import fakes
+
+
+class HeldTable(fakes.MemoryTable):
+    """Holds its first transaction until the others wait behind it."""
+
+    def __init__(self):
+        super().__init__()
+        self.entered = threading.Event()
+        self.go_on = threading.Event()
+
+    def transact(self, transaction):
+        if not self.entered.is_set():
+            self.entered.set()
+            self.go_on.wait()
+        return super().transact(transaction)
+
+
+def write(key, version=0):
+    return models.Transaction(
+        (models.Condition(key, version),), (models.Write(key, {"n": 1}),)
+    )
+
+
+def run_together(table, transactions):
+    """Runs one transaction, the others waiting behind it in their order."""
+    grouped = commits.GroupCommit(table, commits_at_once=1)
+    results = [None] * (len(transactions) + 1)
+
+    def run(index, transaction):
+        try:
+            results[index] = grouped.transact(transaction)
+        except exceptions.PlatformError as error:
+            results[index] = error
+
+    threads = [threading.Thread(target=run, args=(0, write("first")))]
+    threads[0].start()
+    table.entered.wait()
+    for index, transaction in enumerate(transactions, start=1):
+        threads.append(threading.Thread(target=run, args=(index, transaction)))
+        threads[-1].start()
+        while len(grouped.waiting) < index:
+            continue
+    table.go_on.set()
+    for thread in threads:
+        thread.join()
+    assert not grouped.committing
+    return results
+
+
+def test_waiting_transactions_commit_as_one():
+    table = HeldTable()
+    results = run_together(table, [write(f"k{n}") for n in range(10)])
+    assert table.transactions == 2
+    assert len({result.version for result in results}) == 2
+
+
+def test_groups_are_bounded(monkeypatch):
+    monkeypatch.setattr(commits, "GROUP_TRANSACTIONS", 4)
+    table = HeldTable()
+    run_together(table, [write(f"k{n}") for n in range(10)])
+    assert table.transactions == 4
+
+
+def test_refused_transactions_leave_the_others_alone():
+    table = HeldTable()
+    table.platform.rows["k1"] = (7, {"n": 0})
+    results = run_together(table, [write("k0"), write("k1"), write("k2")])
+    assert isinstance(results[2], exceptions.ConditionFailed)
+    assert results[2].rows == (models.TableRow("k1", 7, {"n": 0}),)
+    assert results[1].version == results[3].version
+    assert table.transactions == 3
+
+
+def test_transactions_of_one_row_stay_apart():
+    table = HeldTable()
+    results = run_together(table, [write("k"), write("k"), write("other")])
+    assert table.transactions == 3
+    assert results[1].version == results[3].version
+    assert isinstance(results[2], exceptions.ConditionFailed)
+
+
+@pytest.mark.parametrize(
+    ("fault", "error"),
+    [
+        ("down", exceptions.StoreUnavailable),
+        ("lost", exceptions.StoreTimeout),
+    ],
+)
+def test_each_of_a_group_learns_of_an_error(fault, error):
+    table = HeldTable()
+    table.faults = ["ok", fault]
+    results = run_together(table, [write("k0"), write("k1")])
+    assert [type(result) for result in results[1:]] == [error, error]
+    assert results[1] is not results[2]
+    assert table.transact(write("k2"))
+
+
+def test_few_transactions_do_not_wait():
+    table = HeldTable()
+    grouped = commits.GroupCommit(table, commits_at_once=2)
+    held = threading.Thread(target=grouped.transact, args=(write("held"),))
+    held.start()
+    table.entered.wait()
+    assert grouped.transact(write("other")).version == 1
+    table.go_on.set()
+    held.join()
+    assert grouped.committing == 0
