--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,9 +4,24 @@
 
 from banyanshed import exceptions
 from banyanshed import models
+from banyanshed import requests
 from standins import platform
 
 
+def make_request(idempotency_key, body=b"seat 1"):
+    return requests.CallerRequest(
+        request_id="r",
+        service=models.ServiceId("bookings"),
+        key_digest=None,
+        idempotency_key=idempotency_key,
+        method="POST",
+        target="/seats",
+        headers={},
+        body=body,
+        deadline_s=10.0,
+    )
+
+
 class MemoryTable:
     """Table service whose next calls fail as `faults` says.
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -20,20 +20,6 @@
 OUTCOMES = strategies.sampled_from(["answer", "answer", "lost", "not_run"])
 
 
-def make_request(idempotency_key, body=b"seat 1"):
-    return requests.CallerRequest(
-        request_id="r",
-        service=models.ServiceId("bookings"),
-        key_digest=None,
-        idempotency_key=idempotency_key,
-        method="POST",
-        target="/seats",
-        headers={},
-        body=body,
-        deadline_s=10.0,
-    )
-
-
 @dataclasses.dataclass
 class Attempt:
     """One request on its way through a host; `steps` is what it does now."""
@@ -67,7 +53,7 @@
 
     def make_attempt(self, body):
         self.count += 1
-        request = make_request("key", body.encode())
+        request = fakes.make_request("key", body.encode())
         claim = claims.Claim(
             key=claims.claim_key(models.TenantId("club"), "key"),
             fingerprint=claims.fingerprint(request),
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -7,11 +7,10 @@
 from banyanshed import models
 from banyanshed import requests
 from tests import fakes
-from tests import test_claims
 
 TENANT = models.TenantId("club")
-REQUEST = test_claims.make_request("secret key", b"secret body")
-OTHER = test_claims.make_request("secret key", b"other body")
+REQUEST = fakes.make_request("secret key", b"secret body")
+OTHER = fakes.make_request("secret key", b"other body")
 SMALL = requests.Answer(201, {"x": "y"}, b"secret answer")
 LARGE = requests.Answer(201, {"x": "y"}, bytes(range(256)) * 100)
 
@@ -176,7 +175,7 @@
     monkeypatch.setattr(ledgers, "PENDING_COUNT", 2)
     held = []
     for number in range(3):
-        request = test_claims.make_request(f"key {number}")
+        request = fakes.make_request(f"key {number}")
         held.append(fleet.claim(fleet.first, request))
     fleet.table.faults = ["down"] * 6
     for claim in held:
