Test daemons' gossip over real connections; ask no peer in vain

Cause: a fetch that applied nothing newer counted as done, so that the same peer was asked again at each message. Change: such a peer is left out until it tells a version again. Tests run daemons in one process: a newcomer with one seed and no store, the seed's end, a leaving host, and malformed rows of one peer.

--- a/src/banyanshed/peering.py
+++ b/src/banyanshed/peering.py
@@ -188,7 +188,8 @@
             self.core.on_fetch_done(host, applied=False)
             return
         self.on_version()
-        self.core.on_fetch_done(host, applied=True)
+        applied = self.replica.version() > since
+        self.core.on_fetch_done(host, applied=applied)
 
     def _count(self, code: str) -> None:
         self.failures[code] = self.failures.get(code, 0) + 1
--- /dev/null
+++ b/tests/test_peering.py
@@ -0,0 +1,143 @@
+"""Several daemons' gossip over real connections in one process."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import time
+
+import capnp
+
+from banyanshed import exceptions
+from banyanshed import freshness
+from banyanshed import gossip
+from banyanshed import membership
+from banyanshed import models
+from banyanshed import peering
+from banyanshed import peers
+
+SECRET = b"0123456789abcdef0123456789abcdef"
+INTERVAL_S = 0.05
+LIMITS = peers.PeerLimits(call_timeout_s=0.5)
+
+
+class Replica:
+    """A configuration that is one number."""
+
+    def __init__(self):
+        self.held = 0
+        self.told = b""
+
+    def version(self):
+        return self.held
+
+    def encode_delta(self, version):
+        return peers.Delta(self.held, self.told or b"%d" % self.held)
+
+    def apply_delta(self, delta):
+        if not delta.content.isdigit():
+            raise exceptions.PeerMalformed("rows")
+        self.held = max(self.held, int(delta.content))
+
+
+@dataclasses.dataclass
+class Daemon:
+    peering: peering.Peering
+    replica: Replica
+    server: peers.PeerServer
+    address: str
+    stack: contextlib.AsyncExitStack
+
+    def live(self):
+        return len(self.peering.core.members.live_hosts())
+
+    def state(self, other):
+        host = other.peering.core.members.own.profile.host
+        return self.peering.core.members.state(host)
+
+
+async def start(name, seeds=()):
+    stack = contextlib.AsyncExitStack()
+    rng = random.Random(name)
+    replica = Replica()
+    client = peers.PeerClient(name, SECRET, rng, LIMITS)
+    server = peers.PeerServer(name, SECRET, None, LIMITS)
+    address = await server.start("127.0.0.1:0")
+    profile = models.ListedHost(
+        name, "sask", "sask-a", "127.0.0.1:1", address, models.HostState.LIVE
+    )
+    core = gossip.Gossip(
+        membership.Membership(profile, rng.getrandbits(64) | 1, rng),
+        freshness.Freshness(name, "sask", "sask", 4.0),
+        rng,
+        "sask",
+        seeds,
+        INTERVAL_S,
+        suspect_after_s=0.2,
+    )
+    service = peering.Peering(core, client, replica, None, time.monotonic)
+    server.handler = service
+    for owned in (server, client, service):
+        await stack.enter_async_context(owned)
+    return Daemon(service, replica, server, address, stack)
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def run(scenario):
+    async def within_loop():
+        async with capnp.kj_loop():
+            await scenario()
+
+    asyncio.run(within_loop())
+
+
+def test_newcomer_learns_all_from_peers_and_dead_host_goes():
+    async def scenario():
+        first = await start("a")
+        fleet = [first]
+        for name in ("b", "c", "d"):
+            fleet.append(await start(name, (first.address,)))
+        first.replica.held = 7
+        first.peering.on_version()
+        await until(lambda: all(d.replica.held == 7 for d in fleet))
+        await until(lambda: all(d.live() == 4 for d in fleet))
+        # The seed may be gone once a host knows others.
+        await first.stack.aclose()
+        await until(
+            lambda: all(
+                d.state(first) is models.HostState.SUSPECTED for d in fleet[1:]
+            )
+        )
+        newcomer = await start("e", (fleet[1].address,))
+        await until(lambda: newcomer.replica.held == 7 and newcomer.live() == 4)
+        await newcomer.peering.leave()
+        await until(
+            lambda: all(
+                d.state(newcomer) is models.HostState.LEAVING for d in fleet[1:]
+            )
+        )
+        for daemon in [*fleet[1:], newcomer]:
+            await daemon.stack.aclose()
+
+    run(scenario)
+
+
+def test_malformed_rows_of_one_peer_are_left_and_fetched_from_another():
+    async def scenario():
+        bad = await start("a")
+        good = await start("b", (bad.address,))
+        late = await start("c", (bad.address,))
+        for daemon in (bad, good):
+            daemon.replica.held = 9
+            daemon.replica.told = b"not rows" if daemon is bad else b""
+            daemon.peering.on_version()
+        await until(lambda: late.peering.failures.get("peer_malformed"))
+        await until(lambda: late.replica.held == 9)
+        for daemon in (bad, good, late):
+            await daemon.stack.aclose()
+
+    run(scenario)
