Measure gossip; send fewer unchanged entries

Change: benchmarks/gossip.py measures spread, detection, bytes and processor time; a message carries at most 4 entries without news, 14 before.

--- /dev/null
+++ b/benchmarks/gossip.py
@@ -0,0 +1,395 @@
+"""Measures gossip: time until a version is everywhere, and what it costs.
+
+The decisions are those of the product's core, joined by wires within one
+process. Bytes are those of the encoded messages plus the envelope of the
+transport, counted on a loopback connection; processor time is that of the core
+and codec, plus that of both ends of the transport's calls.
+
+Run: python -m benchmarks.gossip
+"""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import random
+import statistics
+import time
+
+import capnp
+
+from banyanshed import codec
+from banyanshed import gossip
+from banyanshed import models
+from banyanshed import peers
+from banyanshed import sessions
+from banyanshed import shares
+from benchmarks import wires
+
+DELAY_S = (0.01, 0.06)
+WARM_UP_S = 40.0
+COST_S = 20.0
+CHANGES = 5
+LONGEST_S = 60.0
+STEP_S = 0.05
+CALLS = 2000
+CONNECTIONS = 200
+IDLE_S = peers.IDLE_TIMEOUT_S / 2
+PACKET_HEADER_BYTES = 52
+PACKETS_PER_CALL = 6
+PACKETS_PER_CONNECTION = 14
+SIZES = (25, 100, 550)
+SECRET = b"0123456789abcdef0123456789abcdef"
+
+
+@dataclasses.dataclass(frozen=True)
+class Transport:
+    """Cost of the transport, both ends together.
+
+    Attributes:
+        call_s: Processor time of one call.
+        connection_s: Processor time of one connection with its proofs.
+        call_bytes: Bytes of one call's envelope, both ways.
+        heartbeat_bytes: Bytes of a witness's heartbeat and answer.
+        connection_bytes: Bytes of one connection's set-up, both ways.
+    """
+
+    call_s: float
+    connection_s: float
+    call_bytes: float
+    heartbeat_bytes: float
+    connection_bytes: float
+
+
+@dataclasses.dataclass
+class Traffic:
+    """What the hosts sent.
+
+    Attributes:
+        messages: Number of questions and replies.
+        encoded_bytes: Their encoded size.
+        codec_s: Processor time of writing and reading them.
+    """
+
+    messages: int = 0
+    encoded_bytes: int = 0
+    codec_s: float = 0.0
+
+    def add(self, _: models.HostId, message: gossip.GossipMessage) -> None:
+        """Counts one message."""
+        started_s = time.process_time()
+        builder = codec.SCHEMA.GossipMessage.new_message()
+        codec.write_message(builder, message)
+        codec.read_message(builder.as_reader())
+        self.codec_s += time.process_time() - started_s
+        self.messages += 1
+        self.encoded_bytes += codec.encoded_bytes(message)
+
+
+class Echo:
+    """Answers each question with one reply."""
+
+    def __init__(self, reply: gossip.GossipMessage):
+        """Takes the reply."""
+        self.reply = reply
+
+    def on_gossip(self, message: gossip.GossipMessage) -> gossip.GossipMessage:
+        """Returns the reply."""
+        del message
+        return self.reply
+
+    def delta_since(self, version: int) -> peers.Delta:
+        """Returns nothing."""
+        return peers.Delta(version, b"")
+
+    def on_heartbeat(
+        self, heartbeat: sessions.Heartbeat
+    ) -> sessions.Acknowledgement:
+        """Refuses."""
+        witness = sessions.WitnessId(
+            models.HostId("h"), sessions.Incarnation("i"), heartbeat.term
+        )
+        return sessions.Acknowledgement(
+            witness, heartbeat.session, heartbeat.sequence, False
+        )
+
+
+def start(hosts: int, loss: float = 0.0) -> wires.Wires:
+    """Returns a fleet of four regions that has run for a while."""
+    net = wires.Wires(1, wires.Wiring(delay_s=DELAY_S, loss=loss))
+    for number in range(hosts):
+        net.add(number, regions=4, zones=2)
+    net.list_all()
+    net.run(WARM_UP_S)
+    return net
+
+
+def spread_times(net: wires.Wires) -> Iterator[float]:
+    """Yields the seconds until each of several versions is everywhere.
+
+    One host reads the store; the others learn from peers alone.
+    """
+    nodes = [node for node in net.nodes.values() if node.running]
+    for node in nodes:
+        node.reads_store = False
+    for _ in range(CHANGES):
+        version = net.accept()
+        started_s = net.now_s
+        source = net.rng.choice(nodes)
+        questions = source.core.on_version(net.now_s, version)
+        net.send(source, questions)
+        while any(node.core.freshness.version < version for node in nodes):
+            if net.now_s - started_s > LONGEST_S:
+                break
+            net.run(STEP_S)
+        yield net.now_s - started_s
+        net.run(1.0)
+
+
+@contextlib.contextmanager
+def no_push() -> Iterator[None]:
+    """Spreads versions by the questions of ticks alone, as a baseline."""
+    announce = gossip.Gossip.announce
+    gossip.Gossip.announce = lambda *_: []  # type: ignore[method-assign]
+    try:
+        yield
+    finally:
+        gossip.Gossip.announce = announce  # type: ignore[method-assign]
+
+
+def print_spread() -> None:
+    """Prints how long a version takes to be everywhere."""
+    print("\nseconds until a version is everywhere (median, longest of 5)")
+    print(f"{'hosts':>6} {'case':<22} {'median':>7} {'longest':>8}")
+    for hosts in SIZES:
+        cases = [("calm", 0.0, 0.0), ("10% dead", 0.1, 0.0)]
+        cases.append(("5% of messages lost", 0.0, 0.05))
+        for name, dead, loss in cases:
+            net = start(hosts, loss)
+            for node in list(net.nodes.values())[: int(hosts * dead)]:
+                node.running = False
+            print_times(hosts, name, list(spread_times(net)))
+        with no_push():
+            print_times(hosts, "no push, baseline", list(spread_times(net)))
+
+
+def print_times(hosts: int, name: str, times: list[float]) -> None:
+    """Prints one row."""
+    median_s = statistics.median(times)
+    print(f"{hosts:>6} {name:<22} {median_s:>7.2f} {max(times):>8.2f}")
+
+
+def print_detection() -> None:
+    """Prints how soon dead hosts leave the live set."""
+    print("\nshare of (live host, dead host) pairs suspected, 10% dead at once")
+    print(f"{'hosts':>6} {'5 s':>6} {'10 s':>6} {'15 s':>6} {'20 s':>6} wrong")
+    for hosts in SIZES:
+        net = start(hosts)
+        dead = list(net.nodes.values())[::10][: hosts // 10]
+        for node in dead:
+            node.running = False
+        shares = []
+        for _ in range(4):
+            net.run(5)
+            shares.append(f"{suspected_share(net, dead):>6.3f}")
+        wrong = sum(
+            node.core.members.state(other.profile.host)
+            is models.HostState.SUSPECTED
+            for node in net.nodes.values()
+            for other in net.nodes.values()
+            if node.running and other.running
+        )
+        print(f"{hosts:>6} {' '.join(shares)} {wrong:>5}")
+
+
+def suspected_share(net: wires.Wires, dead: list[wires.Node]) -> float:
+    """Returns the share of pairs in which the dead host is suspected."""
+    live = [node for node in net.nodes.values() if node.running]
+    suspected = sum(
+        node.core.members.state(other.profile.host)
+        is models.HostState.SUSPECTED
+        for node in live
+        for other in dead
+    )
+    return suspected / (len(live) * len(dead))
+
+
+def print_cost(transport: Transport) -> None:
+    """Prints bytes and processor time of one daemon."""
+    print("\ncost of one daemon, a second")
+    print(
+        f"{'hosts':>6} {'calls':>6} {'opens':>6} {'sent bytes':>11}"
+        f" {'with headers':>13} {'core share':>11}"
+    )
+    for hosts in SIZES:
+        net = start(hosts)
+        traffic = Traffic()
+        opens = count_opens(net)
+        net.on_message = traffic.add
+        started_s = time.process_time()
+        net.run(COST_S)
+        spent_s = time.process_time() - started_s
+        # Includes the codec, and the count itself, which writes once more.
+        scale = hosts * COST_S
+        calls = traffic.messages / 2 / scale
+        connections = opens[0] / scale
+        sent = (
+            traffic.encoded_bytes / scale
+            + calls * transport.call_bytes
+            + connections * transport.connection_bytes
+        )
+        packets = (
+            calls * PACKETS_PER_CALL + connections * PACKETS_PER_CONNECTION
+        )
+        share = (
+            spent_s / scale
+            + calls * transport.call_s
+            + connections * transport.connection_s
+        )
+        print(
+            f"{hosts:>6} {calls:>6.2f} {connections:>6.3f} {sent:>11.0f}"
+            f" {sent + packets * PACKET_HEADER_BYTES:>13.0f} {share:>11.3%}"
+        )
+
+
+def count_opens(net: wires.Wires) -> list[int]:
+    """Counts connections opened from now on, in the item of the result."""
+    opens = [0]
+    used_s: dict[tuple[str, str], float] = {}
+    send = net.send
+
+    def count(node: wires.Node, questions: list[gossip.Question]) -> None:
+        for question in questions:
+            pair = (node.profile.peer_address, question.address)
+            # Before the first use is known, the connection counts as open.
+            if net.now_s - used_s.get(pair, started_s) > IDLE_S or (
+                pair not in used_s and net.now_s > started_s + settled_s
+            ):
+                opens[0] += 1
+            used_s[pair] = net.now_s
+        send(node, questions)
+
+    started_s = net.now_s
+    settled_s = gossip.VIEW_HOSTS * gossip.INTERVAL_S
+    net.send = count  # type: ignore[method-assign]
+    return opens
+
+
+def measure_transport() -> Transport:
+    """Returns the cost of calls and connections on a loopback address."""
+    return asyncio.run(_measure_transport())
+
+
+async def _measure_transport() -> Transport:
+    net = start(25)
+    node = next(iter(net.nodes.values()))
+    message = node.core.tick(net.now_s)[0].message
+    size = codec.encoded_bytes(message)
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(capnp.kj_loop())
+        server = peers.PeerServer(node.profile.host, SECRET, Echo(message))
+        await stack.enter_async_context(server)
+        address = await server.start("127.0.0.1:0")
+        relay = Relay(address)
+        counted = await relay.start(stack)
+        client = peers.PeerClient(node.profile.host, SECRET, random.Random(1))
+        await stack.enter_async_context(client)
+        await client.gossip(counted, message)
+        first = relay.bytes
+        await client.gossip(counted, message)
+        call_bytes = relay.bytes - first - 2 * size
+        connection_bytes = first - call_bytes - 2 * size
+        before = relay.bytes
+        await client.heartbeat(
+            counted,
+            sessions.Heartbeat(
+                shares.SessionId("entry-001/1234567890.1"), 1, 9
+            ),
+        )
+        heartbeat_bytes = relay.bytes - before
+        call_s = await time_calls(client, address, message, CALLS, False)
+        both_s = await time_calls(client, address, message, CONNECTIONS, True)
+        # Codec time is counted with the core.
+        traffic = Traffic()
+        for _ in range(CALLS):
+            traffic.add(node.profile.host, message)
+        codec_s = 2 * traffic.codec_s / CALLS
+        return Transport(
+            max(0.0, call_s - codec_s),
+            both_s - call_s,
+            call_bytes,
+            heartbeat_bytes,
+            connection_bytes,
+        )
+
+
+async def time_calls(
+    client: peers.PeerClient,
+    address: str,
+    message: gossip.GossipMessage,
+    count: int,
+    reopen: bool,
+) -> float:
+    """Returns the processor time of one call, both ends together."""
+    await client.gossip(address, message)
+    started_s = time.process_time()
+    for _ in range(count):
+        if reopen:
+            await client.close()
+        await client.gossip(address, message)
+    return (time.process_time() - started_s) / count
+
+
+class Relay:
+    """Passes bytes on to an address and counts them.
+
+    Attributes:
+        bytes: Bytes passed, both ways.
+    """
+
+    def __init__(self, address: str):
+        """Takes the address to pass bytes on to."""
+        self.host, self.port = peers.split_address(address)
+        self.bytes = 0
+
+    async def start(self, stack: contextlib.AsyncExitStack) -> str:
+        """Listens on a loopback address and returns it."""
+        listener = await asyncio.start_server(self._relay, "127.0.0.1", 0)
+        stack.callback(listener.close)
+        return f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+
+    async def _relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        up_reader, up_writer = await asyncio.open_connection(
+            self.host, self.port
+        )
+        await asyncio.gather(
+            self._pump(reader, up_writer), self._pump(up_reader, writer)
+        )
+
+    async def _pump(
+        self, source: asyncio.StreamReader, sink: asyncio.StreamWriter
+    ) -> None:
+        while data := await source.read(65536):
+            self.bytes += len(data)
+            sink.write(data)
+        sink.close()
+
+
+def main() -> None:
+    """Prints all tables."""
+    transport = measure_transport()
+    print("transport, both ends together:")
+    print(f"  call: {transport.call_s * 1e3:.3f} ms", end="")
+    print(f", envelope {transport.call_bytes:.0f} bytes")
+    print(f"  connection: {transport.connection_s * 1e3:.2f} ms", end="")
+    print(f", {transport.connection_bytes:.0f} bytes")
+    print(f"  heartbeat of a witness: {transport.heartbeat_bytes:.0f} bytes")
+    print_cost(transport)
+    print_spread()
+    print_detection()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/banyanshed/gossip.py
+++ b/src/banyanshed/gossip.py
@@ -28,6 +28,7 @@
 RETRY_TICKS = 5
 SEED_QUESTIONS = 2
 MAX_ENTRY_UNITS = 14
+MAX_UNCHANGED = 4
 MAX_JOIN_UNITS = 64
 MAX_ENTRIES = 80
 MAX_WANTS = 8
@@ -438,7 +439,9 @@
             receiver = reply_to.sender.host
             joins = 2 * reply_to.known_hosts < len(self.members.members)
         entries = self.members.select_entries(
-            MAX_JOIN_UNITS if joins else MAX_ENTRY_UNITS, with_profiles=joins
+            MAX_JOIN_UNITS if joins else MAX_ENTRY_UNITS,
+            MAX_JOIN_UNITS if joins else MAX_UNCHANGED,
+            with_profiles=joins,
         )
         about = self.members.members.get(receiver) if receiver else None
         if about and (
--- a/src/banyanshed/membership.py
+++ b/src/banyanshed/membership.py
@@ -251,14 +251,14 @@
         return self.members[self.rng.choice(self._order)]
 
     def select_entries(
-        self, max_units: int, *, with_profiles: bool = False
+        self, max_units: int, max_unchanged: int, *, with_profiles: bool = False
     ) -> list[MemberEntry]:
         """Returns entries to send: changed ones first, then in rotation.
 
         Changes lead, the newest and least-sent of them first, and carry their
-        profile unless the host is suspected. The rest of the room goes to
-        other hosts in turn. An entry with a profile takes PROFILE_UNITS of
-        the room, others one.
+        profile unless the host is suspected; such an entry takes
+        PROFILE_UNITS of the room, others one. At most `max_unchanged` others
+        follow in turn, so that a lost change is made up for.
         """
         entries = []
         units = max_units
@@ -268,7 +268,7 @@
             entries.append(member.entry(with_profile=with_profile))
             units -= PROFILE_UNITS if with_profile else 1
         chosen = {entry.host for entry in entries}
-        for _ in range(min(units, len(self._order))):
+        for _ in range(min(units, max_unchanged, len(self._order))):
             self._fill_place = (self._fill_place + 1) % len(self._order)
             member = self.members[self._order[self._fill_place]]
             if member is self.own or member.heartbeat == NEVER_HEARD:
