Gossip at the interval of the settings and dump its state

Change: the settings reach the gossip, the default is 1 s, and the state dump shows the view, doubted hosts, rivals and ages of word.

--- a/src/banyanshed/entry.py
+++ b/src/banyanshed/entry.py
@@ -59,7 +59,12 @@
             self._profile(), self.incarnation, rng, now_s
         )
         self.gossip = gossip.Gossip(
-            self.members, self.freshness, rng, self.store_region
+            self.members,
+            self.freshness,
+            rng,
+            self.store_region,
+            interval_s=settings.gossip_interval_s,
+            suspect_after_s=settings.suspect_after_s,
         )
         self.shares = leases.ShareHolder(
             self.host,
@@ -236,6 +241,7 @@
                 host: state.value
                 for host, state in sorted(self.members.states().items())
             },
+            "gossip": self.gossip.state(now_s),
             "drained": sorted(self.drained),
             "shares": _shares(self.shares, now_s),
             "traffic": self.traffic.state(now_s),
--- a/src/banyanshed/gossip.py
+++ b/src/banyanshed/gossip.py
@@ -11,6 +11,7 @@
 import dataclasses
 import math
 import random
+from typing import Any
 
 from banyanshed import freshness
 from banyanshed import membership
@@ -291,6 +292,23 @@
         if not applied:
             self.ahead.pop(host, None)
 
+    def state(self, now_s: float) -> dict[str, Any]:
+        """Returns the state of the gossip as JSON data, for a state dump."""
+        return {
+            "view": list(self.view),
+            "doubted": sorted(self.suspicions),
+            "ahead": {host: self.ahead[host] for host in sorted(self.ahead)},
+            "words_age_s": {
+                host: now_s - at_s
+                for host, at_s in sorted(self.freshness.words.items())
+            },
+            "heartbeat": self.members.own.heartbeat,
+            "rivals": {
+                str(incarnation): times
+                for incarnation, times in self.members.rivals.items()
+            },
+        }
+
     def _merge(self, now_s: float, message: GossipMessage) -> None:
         self.members.merge(now_s, message.sender)
         for entry in message.entries[:MAX_ENTRIES]:
--- a/src/banyanshed/settings.py
+++ b/src/banyanshed/settings.py
@@ -84,8 +84,9 @@
         lease_s: Length of a lease on shares.
         witness_timeout_s: Age of a witness's acknowledgement at which the
             holder stops spending.
-        gossip_interval_s: Time between messages to each peer.
-        suspect_after_s: Silence after which a peer is suspected.
+        gossip_interval_s: Time between questions to peers.
+        suspect_after_s: Time between asking others about a silent peer and
+            suspecting it.
         poll_interval_s: Time between reads of the configuration.
         lookup_ttl_s: How long callers may keep the answer to a look-up.
         lookup_hosts: Most entry hosts named in one answer.
@@ -112,7 +113,7 @@
     ] = 4
     lease_s: Seconds = 900
     witness_timeout_s: Seconds = 3
-    gossip_interval_s: Seconds = 0.5
+    gossip_interval_s: Seconds = 1
     suspect_after_s: Seconds = 2
     poll_interval_s: Seconds = 1
     lookup_ttl_s: Seconds = 5
