Make three tests of the transport fail without their mechanism

Change: the right proof after a wrong one must be refused; the client must name the server's proof; the oversize message is 1 MB.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -130,7 +130,7 @@
     async def scenario():
         async with open_bench() as bench:
             async with make_client(b"x" * 32) as client:
-                with pytest.raises(exceptions.PeerNotProved):
+                with pytest.raises(exceptions.PeerNotProved, match="another"):
                     await client.gossip(bench.address, MESSAGE)
             # A client that skips the check of the server gets no further.
             host, port = peers.split_address(bench.address)
@@ -139,9 +139,13 @@
             gate = rpc.bootstrap().cast_as(codec.SCHEMA.Gate)
             hello = await gate.hello(peers.PROTOCOL_VERSION, "h1", b"n" * 32)
             parts = (b"n" * 32, bytes(hello.nonce), b"h1", b"h0")
-            # Neither another secret nor the server's own proof sent back.
-            proofs = [peers.prove(b"x" * 32, "client", *parts), hello.proof]
-            for proof in proofs:
+            # Not another secret, nor the server's own proof sent back; and
+            # after a wrong proof not even the right one.
+            for proof in (
+                peers.prove(b"x" * 32, "client", *parts),
+                hello.proof,
+                peers.prove(SECRET, "client", *parts),
+            ):
                 answer = await gate.authenticate(proof)
                 assert answer.error == "peer_not_proved"
                 with pytest.raises(capnp.KjException):
@@ -204,9 +208,7 @@
 
 def test_oversize_message_of_a_proved_peer_closes_the_connection():
     async def scenario():
-        big = dataclasses.replace(
-            MESSAGE, wants=("x" * peers.MAX_MESSAGE_BYTES,)
-        )
+        big = dataclasses.replace(MESSAGE, wants=("x" * (1 << 20),))
         async with open_bench() as bench, make_client() as client:
             await client.gossip(bench.address, MESSAGE)
             with pytest.raises(exceptions.PeerError):
