Stop CherryPy off the loop

Cause: a planned stop could hang for good: engine.exit() ran on the loop's thread and joined pool threads that waited for the loop's answer (seen in a thread dump of a host stopped under load while the store was down). Ruled out: a time limit on the bridge, which would answer falsely. Change: engine.exit() runs in a thread; the loop goes on until it is done. Measured: test_two_hosts_stop_under_load...[down] hung before (no exit within 60 s), passes after.

--- a/src/banyanshed/daemon.py
+++ b/src/banyanshed/daemon.py
@@ -177,9 +177,8 @@
         self.requests = serving.RequestServer(
             self.bridge, self.forwarder, self.ledger
         )
-        server_exits = exits.enter_context(contextlib.ExitStack())
         server.start(
-            server_exits,
+            exits,
             self.settings,
             web.CallerApplication(self, self.settings.body_limit_bytes),
             operators.OperatorPages(self.table, self, self.settings.operators),
--- a/src/banyanshed/server.py
+++ b/src/banyanshed/server.py
@@ -1,5 +1,6 @@
 """CherryPy's HTTP server of one daemon: callers, operators and metrics."""
 
+import asyncio
 import contextlib
 import json
 from typing import Any, Protocol
@@ -52,7 +53,7 @@
 
 
 def start(
-    exits: contextlib.ExitStack,
+    exits: contextlib.AsyncExitStack,
     settings: settings_module.Settings,
     callers: web.CallerApplication,
     operators: Any,
@@ -94,5 +95,6 @@
     cherrypy.tree.mount(operators, "/operator")
     cherrypy.tree.mount(public, "/")
     cherrypy.engine.autoreload.unsubscribe()
-    exits.callback(cherrypy.engine.exit)
+    # Off the loop: pool threads that still wait for it must be answered.
+    exits.push_async_callback(asyncio.to_thread, cherrypy.engine.exit)
     cherrypy.engine.start()
