Let the last host of the store's region go on after planned stops

Cause: once the other hosts of the store's region had left by plan during an outage of the store, the last one refused all keys as stale: hosts that said that they were leaving still counted as hosts that might know better. Ruled out: ignoring suspected hosts, which may be cut off and know better. Change: hosts that said that they leave no longer count; and the sole host's own word counts only while some peer answers it, so that one cut off from store and peers refuses keys. Callers try the next host on no_share.

--- a/src/banyanshed/callers.py
+++ b/src/banyanshed/callers.py
@@ -16,6 +16,8 @@
 LOOKUP_TIMEOUT_S = 2.0
 REQUEST_TIMEOUT_S = 30.0
 MAX_CACHED_LOOKUPS = 1024
+ELSEWHERE_CODES = frozenset({"leaving", "no_share", "stale_keys"})
+"""Refusals after which another host may well serve the request."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -144,7 +146,7 @@
             if "Banyanshed-Ran" not in answer.headers:
                 return _response(answer, host)
             refused = _refused(answer)
-            if refused.code not in ("leaving", "stale_keys"):
+            if refused.code not in ELSEWHERE_CODES:
                 raise refused
             self.cache.pop(service, None)
         raise refused
--- a/src/banyanshed/freshness.py
+++ b/src/banyanshed/freshness.py
@@ -48,8 +48,11 @@
         version: Version of the configuration in force here.
         confirmed_at_s: Latest instant at which it was surely current.
         words: Latest instants of word, of at most MAX_WORDS other hosts.
-        sole_host: This host is the only known one of the store's region, so
-            that its own word counts for itself.
+        sole_host: No other host of the store's region is known but leaving
+            ones, so that this host's own word counts for itself while peers
+            answer it.
+        alone: No other host is known but leaving ones.
+        answered_at_s: When the last question that a peer answered was sent.
     """
 
     def __init__(
@@ -74,6 +77,8 @@
         self.confirmed_at_s = -math.inf
         self.words: dict[models.HostId, float] = {}
         self.sole_host = False
+        self.alone = False
+        self.answered_at_s = -math.inf
         self._pending: Claim | None = None
 
     def on_version(self, version: int) -> None:
@@ -109,6 +114,7 @@
             confirmed_age_s: Age of the peer's confirmation.
             words: Ages of word known to the peer.
         """
+        self.answered_at_s = max(self.answered_at_s, sent_s)
         claim = Claim(
             version,
             sent_s - confirmed_age_s,
@@ -125,9 +131,9 @@
 
     def word_age_s(self, now_s: float) -> float:
         """Returns the age of the latest word of another host."""
-        if self.in_store_region and self.sole_host:
-            return 0.0
-        return now_s - max(self.words.values(), default=-math.inf)
+        if not self.in_store_region or not self.sole_host:
+            return now_s - max(self.words.values(), default=-math.inf)
+        return 0.0 if self.alone else now_s - self.answered_at_s
 
     def keys_usable(self, now_s: float) -> bool:
         """Returns whether requests that need a key may be served."""
--- a/src/banyanshed/gossip.py
+++ b/src/banyanshed/gossip.py
@@ -164,9 +164,8 @@
         self._ticks += 1
         self._expire_suspicions(now_s)
         self.members.sweep(now_s)
-        self.freshness.sole_host = (
-            self.members.region_sizes[self.store_region] == 1
-        )
+        self.freshness.sole_host = self.members.is_sole_host(self.store_region)
+        self.freshness.alone = self.members.is_sole_host()
         self._refresh_view()
         receivers = self._choose_receivers(now_s)
         questions = [self._question(now_s, host) for host in receivers]
--- a/src/banyanshed/membership.py
+++ b/src/banyanshed/membership.py
@@ -62,6 +62,7 @@
         changed_at_s: When its state or incarnation last changed here.
         listed: The platform's list names the host.
         listed_leaving: The platform's list says that the host is leaving.
+        left: Its process said that it was leaving; silence then follows.
     """
 
     profile: models.ListedHost
@@ -71,6 +72,7 @@
     changed_at_s: float = -math.inf
     listed: bool = False
     listed_leaving: bool = False
+    left: bool = False
 
     def effective_state(self) -> models.HostState:
         """Returns the state after any sign of leaving."""
@@ -164,6 +166,21 @@
             if self.state(host) is models.HostState.LIVE
         )
 
+    def is_sole_host(self, region: models.RegionId | None = None) -> bool:
+        """Returns whether all other hosts, if any, are leaving.
+
+        Args:
+            region: Region whose hosts count; None for all hosts.
+        """
+        for member in self.members.values():
+            if member is self.own:
+                continue
+            if region is not None and member.profile.region != region:
+                continue
+            if not member.left and not member.listed_leaving:
+                return False
+        return True
+
     def refute(self) -> None:
         """Outruns suspicions of this host, since a peer's question came."""
         if self._outrun_heartbeat >= self.own.heartbeat:
@@ -197,6 +214,8 @@
         member.incarnation = entry.incarnation
         member.heartbeat = entry.heartbeat
         member.state = entry.state
+        if entry.state is not models.HostState.SUSPECTED:
+            member.left = entry.state is models.HostState.LEAVING
         if changed:
             member.changed_at_s = now_s
             self._spread(entry.host, introduce=known_anew)
@@ -333,8 +352,6 @@
             times = self.rivals.get(entry.incarnation, 0)
             self.rivals[entry.incarnation] = times + 1
         self._outrun_heartbeat = max(self._outrun_heartbeat, entry.heartbeat)
-        # Needs no proof of reach: the rival's entry says nothing of this host.
-        self.refute()
         return True
 
     def _merge_unknown(self, now_s: float, entry: MemberEntry) -> bool:
@@ -350,6 +367,7 @@
                 heartbeat=entry.heartbeat,
                 state=entry.state,
                 changed_at_s=now_s,
+                left=entry.state is models.HostState.LEAVING,
             )
         )
         self._spread(entry.host, introduce=True)
