--- a/src/banyanshed/shares.py
+++ b/src/banyanshed/shares.py
@@ -571,7 +571,7 @@
     worthwhile = (
         fresh
         or (ask.leaving and old is not None and units == 0)
-        or (old is None and (units > 0 or ask.used > 0 or ask.wanted > 1))
+        or (old is None and (units > 0 or ask.wanted > 1))
         or (old is not None and _units_worthwhile(old, grant))
         or limit != share.limit
         or len(others) + (old is not None) < len(share.grants)
@@ -586,7 +586,7 @@
         grant.units != old.units
         or grant.used > old.used
         or old.used - grant.used > old.used // 4
-        or abs(grant.wanted - old.wanted) > old.wanted // 4
+        or abs(grant.wanted - old.wanted) > 1 + old.wanted // 4
     )
 
 
@@ -648,18 +648,17 @@
     held = old.units if old else 0
     if old is not None and old.of_limit > limit.limit:
         return min(held * limit.limit // old.of_limit, ask.wanted)
-    excess = held - free
-    if excess > 0 and held > 0:
-        total = held + sum(grant.units for grant in others)
-        return held - min(held, math.ceil(excess * held / total))
     wants = [grant.wanted for grant in others] + [ask.wanted]
-    if sum(wants) <= open_units:
-        idle = held - ask.wanted
-        if 0 < idle <= max(1, held // 4):
-            return held
-        return min(ask.wanted, max(free, 0))
     sessions = [grant.session for grant in others] + [ask.session]
-    fair = apportion(open_units, wants, sessions)[-1]
+    fair = apportion(max(0, open_units), wants, sessions)[-1]
+    excess = held - free
+    if excess > 0:
+        return held - min(held, excess, max(0, held - fair))
+    if sum(wants) <= open_units:
+        # Nobody lacks units; spare ones are held for bursts of requests.
+        return max(held, min(fair, free))
+    if fair < held <= fair + 1 and fair > 0:
+        return held
     return max(0, min(fair, free))
 
 
