Let a host that refuses requests draw the pool's tokens

Cause: tokens of the part that nobody holds gathered in the pool, while a host that refused requests had no change of its part that was worth a write.

--- a/src/banyanshed/leases.py
+++ b/src/banyanshed/leases.py
@@ -215,6 +215,7 @@
         held.bucket.tokens,
         held.bucket.reserved,
         leaving,
+        held.refused > 0,
     )
     return shares.plan_rate(held.limit, share, ask, moment)
 
--- a/src/banyanshed/shares.py
+++ b/src/banyanshed/shares.py
@@ -201,6 +201,7 @@
         tokens: Tokens that it has now.
         reserved: Tokens reserved and not settled.
         leaving: Everything is returned.
+        short: It refuses requests for want of tokens.
     """
 
     session: SessionId
@@ -209,6 +210,7 @@
     tokens: float
     reserved: float = 0.0
     leaving: bool = False
+    short: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -421,6 +423,7 @@
         fresh
         or gone
         or len(others) + (old in share.grants) < len(share.grants)
+        or (ask.short and tokens >= min(1.0, limit.burst))
         or _rate_worthwhile(limit, share, old, grant, tokens),
     )
 
