Let first requests wait for a share instead of refusing them

Cause: a host that had no share of a tenant yet refused its first requests with 429 rate_limited although the tenant was far within its rate (seen in the first golden file of an HTTP exchange: four refusals in a row). Ruled out: shares for all tenants on all hosts in advance, which strands small bursts; waiting for tenants over their rate, which would hold refusals back. Change: without a share of the tenant the host asks for one and lets at most 64 requests wait for it, 0.5 s at most; then 503 no_share at once. Errors that CherryPy finds itself come in the problem form.

--- a/src/banyanshed/server.py
+++ b/src/banyanshed/server.py
@@ -8,6 +8,8 @@
 import cherrypy
 import prometheus_client
 
+from banyanshed import models
+from banyanshed import problems
 from banyanshed import settings as settings_module
 from banyanshed import telemetry as telemetry_module
 from banyanshed import web
@@ -52,6 +54,16 @@
         return json.dumps(found).encode()
 
 
+def answer_error(status: str, **details: str) -> bytes:
+    """Returns the problem form of an error that CherryPy found itself."""
+    del details
+    cherrypy.response.headers["Content-Type"] = problems.CONTENT_TYPE
+    cherrypy.response.headers["Banyanshed-Ran"] = models.Ran.NO.value
+    number, _, reason = status.partition(" ")
+    code = "_".join(reason.lower().split())
+    return problems.encode(problems.refuse(int(number), code, f"{reason}."))
+
+
 def start(
     exits: contextlib.AsyncExitStack,
     settings: settings_module.Settings,
@@ -77,6 +89,7 @@
             "log.access_file": "",
             "log.error_file": "",
             "request.show_tracebacks": False,
+            "error_page.default": answer_error,
             "server.socket_host": ip,
             "server.socket_port": port,
             "server.thread_pool": settings.threads,
--- a/src/banyanshed/traffic.py
+++ b/src/banyanshed/traffic.py
@@ -34,6 +34,10 @@
 
 STALE_RETRY_S = 2.0
 NO_SHARE_RETRY_S = 1.0
+NO_SHARE_CODE = "no_share"
+SHARE_WAIT_S = 0.5
+MAX_UNSHARED = 64
+NO_DIGEST = models.KeyDigest("")
 LEAVING_RETRY_S = 0.5
 PROBE_INTERVAL_S = 2.0
 PROBE_JITTER = 0.1
@@ -66,6 +70,21 @@
     failure: requests.AttemptFailure | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class Unshared:
+    """A request that waits until this host holds a share of its tenant.
+
+    Attributes:
+        event: Its arrival.
+        tenant: Its tenant.
+        give_up_s: Monotonic time of its final answer.
+    """
+
+    event: events.RequestArrived
+    tenant: models.TenantId
+    give_up_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Probe:
     """A question for a backend server's health and load."""
@@ -103,6 +122,7 @@
         self.unit_watch = slots.UnitWatch()
         self.budget = retries.RetryBudget()
         self.queue = waiting.WaitQueue(rng, settings.waiting_limit)
+        self.unshared: list[Unshared] = []
         self.delayed: list[tuple[float, int, str]] = []
         self.sequence = itertools.count()
         self.words = itertools.count(1)
@@ -112,7 +132,7 @@
     @property
     def in_flight(self) -> int:
         """Requests that have no final answer yet."""
-        return len(self.serving)
+        return len(self.serving) + len(self.unshared)
 
     @property
     def waits(self) -> bool:
@@ -174,8 +194,17 @@
     def _on_arrived(self, event: events.RequestArrived, now_s: float) -> None:
         admitted = self._admit(event, now_s)
         if isinstance(admitted, models.Refusal):
-            event.reply(admitted)
+            if not self._wait_for_share(event, admitted, now_s):
+                event.reply(admitted)
             return
+        self._start(event, admitted, now_s)
+
+    def _start(
+        self,
+        event: events.RequestArrived,
+        admitted: events.Admitted,
+        now_s: float,
+    ) -> None:
         service = self.config.services[event.request.service]
         serving_now = Serving(event.request, service, admitted)
         self.serving[admitted.ticket] = serving_now
@@ -249,10 +278,10 @@
         admission = self.shares.admit(now_s, tenant)
         if admission.admitted:
             return None
-        if not self.shares.valid(now_s):
+        if not self._has_share(tenant, now_s):
             return problems.refuse(
                 503,
-                "no_share",
+                NO_SHARE_CODE,
                 "This host holds no share of the limits now; try another.",
                 NO_SHARE_RETRY_S,
             )
@@ -263,6 +292,44 @@
             admission.retry_after_s,
         )
 
+    def _has_share(self, tenant: models.TenantId, now_s: float) -> bool:
+        held = self.shares.tenants.get(tenant)
+        if held is None or held.bucket.burst < 1:
+            return False
+        return self.shares.valid(now_s)
+
+    def _wait_for_share(
+        self,
+        event: events.RequestArrived,
+        refusal: models.Refusal,
+        now_s: float,
+    ) -> bool:
+        """Lets a request wait for a share that this host has just asked for."""
+        if refusal.code != NO_SHARE_CODE:
+            return False
+        key = self.config.keys.get(event.request.key_digest or NO_DIGEST)
+        if key is None or len(self.unshared) >= MAX_UNSHARED:
+            return False
+        give_up_s = now_s + min(SHARE_WAIT_S, event.request.deadline_s / 2)
+        tenant = models.TenantId(key.tenant)
+        self.unshared.append(Unshared(event, tenant, give_up_s))
+        return True
+
+    def _serve_unshared(self, now_s: float) -> None:
+        """Admits or refuses requests that waited for a share."""
+        waiting_still = []
+        for unshared in self.unshared:
+            shared = self._has_share(unshared.tenant, now_s)
+            if not shared and now_s < unshared.give_up_s:
+                waiting_still.append(unshared)
+                continue
+            admitted = self._admit(unshared.event, now_s)
+            if isinstance(admitted, models.Refusal):
+                unshared.event.reply(admitted)
+                continue
+            self._start(unshared.event, admitted, now_s)
+        self.unshared = waiting_still
+
     # Placement.
 
     @handle.register
@@ -423,6 +490,8 @@
         while self.delayed and self.delayed[0][0] <= now_s:
             _, _, ticket = heapq.heappop(self.delayed)
             self._place_or_wait(self.serving[ticket], now_s)
+        if self.unshared:
+            self._serve_unshared(now_s)
         self._divide_slots()
         self._serve_waiting(now_s)
 
