Keep golden files of the core's sessions for both example sites

Cause: nothing showed whole sessions of the core at the users' sizes. Change: example tables for both sites; a session of each plays requests, failures, limits, a shift, key changes, an outage of 10 minutes of core time and a planned stop, and is compared with its golden file.

--- /dev/null
+++ b/tests/test_sessions_golden.py
@@ -0,0 +1,286 @@
+"""Golden files of whole sessions of the core, one for each example site."""
+
+import dataclasses
+import pathlib
+import random
+
+import pytest
+
+from banyanshed import configuration
+from banyanshed import edits
+from banyanshed import entry as entries
+from banyanshed import events
+from banyanshed import exceptions
+from banyanshed import leases
+from banyanshed import models
+from banyanshed import requests
+from banyanshed import rows
+from banyanshed import settings
+from banyanshed import sheets
+from standins import memory
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
+DIGEST = models.KeyDigest("ab" * 32)
+STEP_S = 0.05
+TICK_STEPS = 20
+
+
+@dataclasses.dataclass
+class Site:
+    name: str
+    read: str
+    book: str
+    background: str
+    tenant: str
+
+
+SITES = [
+    Site(
+        "halvorsen",
+        "availability-board",
+        "bookings",
+        "shop-records",
+        "prairie-links",
+    ),
+    Site(
+        "kagit-kanat",
+        "workshop-reads",
+        "seat-confirmations",
+        "zone-plans",
+        "turna-dernegi",
+    ),
+]
+
+
+class Session:
+    """Plays events into one host's core and writes down its decisions."""
+
+    def __init__(self, site):
+        text = (EXAMPLES / f"{site.name}.yaml").read_text(encoding="utf-8")
+        self.now_s = 100.0
+        self.lines = []
+        self.table = memory.MemoryTable()
+        self.version = 0
+        self.names = 0
+        self.entry = entries.Entry(
+            settings.load(text), random.Random(7), self.now_s
+        )
+        self.decisions = {}
+
+    def note(self, text):
+        self.lines.append(f"{self.now_s:8.2f} {text}")
+
+    def edit(self, text, *changed, deleted=()):
+        """Puts rows in force, as a read of the store would."""
+        self.version += 1
+        changed_rows = [
+            models.TableRow(
+                rows.row_key(row),
+                self.version,
+                configuration.encode_row(row),
+            )
+            for row in changed
+        ]
+        for key in deleted:
+            changed_rows.append(models.TableRow(key, self.version, None))
+        delta = configuration.ConfigDelta(
+            models.ConfigVersion(self.version - 1),
+            models.ConfigVersion(self.version),
+            tuple(changed_rows),
+        )
+        self.entry.apply_delta(self.now_s, delta)
+        self.entry.gossip.on_version(self.now_s, self.version)
+        self.note(f"edit {text}: version {self.version}")
+
+    def run(self, seconds, *, store=True):
+        """Lets time pass with the store up or down."""
+        steps = round(seconds / STEP_S)
+        for step in range(steps):
+            self.now_s += STEP_S
+            self.table.now_s += STEP_S
+            if store:
+                self.entry.on_store_clock(
+                    self.now_s, self.now_s, self.table.now_s
+                )
+                self.entry.freshness.on_store_read(self.now_s, self.version)
+            self.move_shares(store)
+            if step % TICK_STEPS == 0:
+                self.entry.gossip.tick(self.now_s)
+            self.entry.refresh(self.now_s)
+            self.entry.traffic.tick(self.now_s)
+
+    def move_shares(self, store):
+        holder = self.entry.shares
+        request = holder.next_request(self.now_s)
+        if request is None:
+            return
+        if not store:
+            holder.on_unavailable(self.now_s)
+            return
+        if isinstance(request, leases.ReadRequest):
+            holder.on_page(self.now_s, self.table.read(request.keys))
+            return
+        try:
+            commit = self.table.transact(request)
+            holder.on_commit(self.now_s, commit)
+        except exceptions.ConditionFailed as error:
+            holder.on_conflict(self.now_s, error.rows)
+
+    def ask(self, service, method="GET", key=DIGEST, place=True):
+        """Sends a request to the core; returns its ticket."""
+        self.names += 1
+        ticket = f"request-{self.names}"
+        request = requests.CallerRequest(
+            ticket,
+            models.ServiceId(service),
+            key,
+            None,
+            method,
+            "/x",
+            {},
+            b"",
+            60.0,
+        )
+        self.note(f"{ticket}: {method} {service}")
+
+        def reply(decision):
+            self.decisions[ticket] = decision
+            self.note(f"{ticket}: {describe(decision)}")
+
+        self.entry.traffic.handle(
+            events.RequestArrived(request, self.now_s, place, reply),
+            self.now_s,
+        )
+        return ticket
+
+    def end(self, ticket, outcome, name):
+        """Ends the attempt at work of a request."""
+        self.note(f"{ticket}: attempt ended: {name}")
+
+        def reply(decision):
+            self.decisions[ticket] = decision
+            self.note(f"{ticket}: {describe(decision)}")
+
+        self.entry.traffic.handle(
+            events.AttemptEnded(ticket, outcome, reply), self.now_s
+        )
+
+    def answer(self, ticket):
+        """Ends a request that was placed by an answer."""
+        if not isinstance(self.decisions.get(ticket), events.Placed):
+            return
+        self.end(ticket, requests.Answer(200, {}, b"ok"), "answer 200")
+
+    def fail(self, ticket, ran, code):
+        failure = requests.AttemptFailure(ran, code)
+        self.end(ticket, failure, f"{code}, ran {ran.value}")
+
+
+def describe(decision):
+    """Returns a decision as one line."""
+    if isinstance(decision, events.Placed):
+        target = decision.target
+        return f"placed in {target.region} on {target.backend}"
+    if isinstance(decision, events.Admitted):
+        return f"admitted for {decision.tenant}"
+    back = decision.retry_after_s
+    when = "never" if back is None else f"after {back:.2f} s"
+    return (
+        f"refused {decision.status} {decision.code}, "
+        f"ran {decision.ran.value}, come back {when}"
+    )
+
+
+def play(site):
+    """Plays one day's kinds of events and returns the transcript."""
+    session = Session(site)
+    sheet = (EXAMPLES / f"{site.name}-table.csv").read_text(encoding="utf-8")
+    table = [edit.row for edit in sheets.parse(sheet).edits]
+    assert (
+        edits.check_edit(
+            configuration.Configuration(), sheets.parse(sheet).edits
+        )
+        == []
+    )
+    session.ask(site.read)
+    session.edit("of the whole table", *table)
+    session.ask(site.read)
+    session.edit("issues a key", rows.KeyRow(digest=DIGEST, tenant=site.tenant))
+    session.run(8)
+    play_requests(session, site)
+    play_limits(session, site)
+    play_changes(session, site, table)
+    return "\n".join(session.lines) + "\n"
+
+
+def play_requests(session, site):
+    read = session.ask(site.read)
+    session.answer(read)
+    failed = session.ask(site.read)
+    session.fail(failed, models.Ran.UNKNOWN, "connection_lost")
+    session.answer(failed)
+    booking = session.ask(site.book, "POST")
+    session.fail(booking, models.Ran.UNKNOWN, "connection_lost")
+    booking = session.ask(site.book, "POST")
+    session.fail(booking, models.Ran.NO, "connect_failed")
+    session.answer(booking)
+    lapsed = session.ask(site.read)
+    session.fail(lapsed, models.Ran.NO, "lease_lapsed")
+    session.answer(lapsed)
+    session.ask("unknown-service")
+    session.ask(site.book, key=None)
+    session.ask(site.book, key=models.KeyDigest("cd" * 32))
+    opened = session.ask(site.background, key=None)
+    session.answer(opened)
+
+
+def play_limits(session, site):
+    at_work = [session.ask(site.read) for _ in range(12)]
+    session.run(1)
+    for ticket in at_work:
+        session.answer(ticket)
+    session.run(8)
+
+
+def play_changes(session, site, table):
+    home = session.entry.region
+    placement = next(
+        row
+        for row in table
+        if isinstance(row, rows.PlacementRow)
+        and (row.service, row.region) == (site.read, home)
+    )
+    drained = placement.model_copy(update={"weight": 0})
+    session.edit(f"takes weight from {site.read} in {home}", drained)
+    session.run(60)
+    session.answer(session.ask(site.read))
+    session.edit("withdraws the key", deleted=[f"config/key/{DIGEST}"])
+    session.ask(site.read)
+    session.edit(
+        "issues it again", rows.KeyRow(digest=DIGEST, tenant=site.tenant)
+    )
+    session.run(1)
+    session.answer(session.ask(site.read))
+    session.note("the store is down")
+    session.run(3, store=False)
+    session.answer(session.ask(site.read))
+    session.run(600, store=False)
+    session.answer(session.ask(site.read))
+    session.note("the store is back; a planned stop")
+    session.run(3)
+    session.entry.traffic.close()
+    session.ask(site.read)
+    session.entry.shares.release_all(session.now_s)
+    session.run(2)
+    held = [
+        grant
+        for key, row in session.table.rows.items()
+        if key.startswith("share/") and row.value
+        for grant in row.value["grants"]
+    ]
+    session.note(f"{len(held)} grants left")
+
+
+@pytest.mark.parametrize("site", SITES, ids=lambda site: site.name)
+def test_session_of_a_site(site, snapshot):
+    assert play(site) == snapshot
