--- a/src/banyanshed/leases.py
+++ b/src/banyanshed/leases.py
@@ -63,6 +63,7 @@
 
     key: shares.LimitKey
     session: shares.SessionId
+    at_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,6 +119,8 @@
         target: Units that may be filled; the rest is returned when free.
         in_use: Requests at work.
         peak: Most requests at work of late.
+        meter: Rate of requests asked of this host.
+        lasting_s: Moving average of how long a request is at work.
         refused: Requests refused since the last plan.
         uncertain: Ids of transactions whose outcome is unknown.
         uncertain_version: Version on which those were conditional.
@@ -130,6 +133,10 @@
     peak: buckets.PeakMeter = dataclasses.field(
         default_factory=lambda: buckets.PeakMeter(shares.COOLING_S)
     )
+    meter: buckets.RateMeter = dataclasses.field(
+        default_factory=buckets.RateMeter
+    )
+    lasting_s: float = 0.1
     refused: int = 0
     uncertain: dict[str, float] = dataclasses.field(default_factory=dict)
     uncertain_version: int = 0
@@ -208,6 +215,7 @@
         held.bucket.tokens,
         held.bucket.reserved,
         leaving,
+        held.refused > 0,
     )
     return shares.plan_rate(held.limit, share, ask, moment)
 
@@ -223,7 +231,8 @@
     leaving: bool,
 ) -> Plan:
     peak = held.peak.read(now_s, held.in_use)
-    wanted = peak + 1 + peak // 4 + min(held.refused, 1 + peak // 2)
+    load = held.meter.read(now_s) * held.lasting_s
+    wanted = max(1, math.ceil(load + math.sqrt(load)))
     ask = shares.UnitAsk(session, write_id, held.in_use, peak, wanted, leaving)
     return shares.plan_units(held.limit, share, ask, moment)
 
@@ -498,11 +507,12 @@
         if held is None:
             return None
         in_use = held.in_use
+        held.meter.count += 1
         if now_s < self.valid_until_s and in_use < held.target:
             held.in_use = in_use + 1
             if in_use >= held.peak.current:
                 held.peak.current = in_use + 1
-            return Unit(held.limit.key, self.session)
+            return Unit(held.limit.key, self.session, now_s)
         if held.refused == 0:
             self._hurry(now_s)
         held.refused += 1
@@ -526,6 +536,7 @@
         if unit.session != self.session or not isinstance(held, HeldUnits):
             return
         held.in_use = max(0, held.in_use - 1)
+        held.lasting_s += 0.05 * (now_s - unit.at_s - held.lasting_s)
         if held.units > held.target and held.in_use >= held.target:
             self._hurry(now_s)
 
@@ -727,12 +738,12 @@
         keys = list(self.held)
         if self.session_version == 0:
             return []  # A session row alone can't conflict.
-        if self.conflicts < 2:
+        if self.conflicts < 3:
             return keys
         short = [key for key in keys if is_short(self.held[key])]
         if short:
             keys = short
-        count = max(1, len(keys) >> (self.conflicts - 1))
+        count = max(1, len(keys) >> (self.conflicts - 2))
         return self.rng.sample(keys, count)
 
     def _own_grant(self, share: Any) -> Any:
--- a/src/banyanshed/shares.py
+++ b/src/banyanshed/shares.py
@@ -26,6 +26,7 @@
 CALM_STEP = 0.25
 STARVING_STEP = 0.08
 RESERVE_PART = 0.02
+POOL_PART = 0.3
 LEVEL_STEP_S = 0.4
 MIN_HOST_BURST = 8
 
@@ -200,6 +201,7 @@
         tokens: Tokens that it has now.
         reserved: Tokens reserved and not settled.
         leaving: Everything is returned.
+        short: It refuses requests for want of tokens.
     """
 
     session: SessionId
@@ -208,6 +210,7 @@
     tokens: float
     reserved: float = 0.0
     leaving: bool = False
+    short: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -420,6 +423,7 @@
         fresh
         or gone
         or len(others) + (old in share.grants) < len(share.grants)
+        or (ask.short and tokens >= min(1.0, limit.burst))
         or _rate_worthwhile(limit, share, old, grant, tokens),
     )
 
@@ -453,7 +457,8 @@
     )
     if weight == 0:
         return 0.0, 0.0
-    rate = ask.demand + (usable - demand) * weight / weights
+    spare = (limit.rate - demand) * (1 - POOL_PART)
+    rate = ask.demand + spare * weight / weights
     return rate, max(1.0, limit.burst * rate / limit.rate)
 
 
@@ -528,8 +533,15 @@
         old.demand + limit.rate / len(share.grants) / 4
     ):
         return True
-    starving = any(one.demand > one.rate * 0.9 for one in share.grants)
-    step = STARVING_STEP if starving else CALM_STEP
+    demand = sum(one.demand for one in share.grants)
+    covered = min(1.0, limit.rate / demand) if demand > 0 else 1.0
+    lowest = min(
+        (one.rate / one.demand for one in share.grants if one.demand > 0),
+        default=1.0,
+    )
+    step = CALM_STEP
+    if lowest < 0.95 * covered:
+        step = STARVING_STEP
     return abs(grant.rate - old.rate) > step * old.rate + 0.002 * limit.rate
 
 
@@ -571,7 +583,7 @@
     worthwhile = (
         fresh
         or (ask.leaving and old is not None and units == 0)
-        or (old is None and (units > 0 or ask.used > 0 or ask.wanted > 1))
+        or old is None
         or (old is not None and _units_worthwhile(old, grant))
         or limit != share.limit
         or len(others) + (old is not None) < len(share.grants)
@@ -586,7 +598,7 @@
         grant.units != old.units
         or grant.used > old.used
         or old.used - grant.used > old.used // 4
-        or abs(grant.wanted - old.wanted) > old.wanted // 4
+        or abs(grant.wanted - old.wanted) > 1 + old.wanted // 4
     )
 
 
@@ -648,18 +660,18 @@
     held = old.units if old else 0
     if old is not None and old.of_limit > limit.limit:
         return min(held * limit.limit // old.of_limit, ask.wanted)
-    excess = held - free
-    if excess > 0 and held > 0:
-        total = held + sum(grant.units for grant in others)
-        return held - min(held, math.ceil(excess * held / total))
     wants = [grant.wanted for grant in others] + [ask.wanted]
-    if sum(wants) <= open_units:
-        idle = held - ask.wanted
-        if 0 < idle <= max(1, held // 4):
-            return held
-        return min(ask.wanted, max(free, 0))
     sessions = [grant.session for grant in others] + [ask.session]
-    fair = apportion(open_units, wants, sessions)[-1]
+    fair = apportion(max(0, open_units), wants, sessions)[-1]
+    excess = held - free
+    if excess > 0:
+        return held - min(held, excess, max(0, held - fair))
+    lacking = any(grant.units < grant.wanted for grant in others)
+    if sum(wants) <= open_units and not lacking:
+        # Nobody lacks units; spare ones are held for bursts of requests.
+        return max(held, min(fair, free))
+    if fair < held <= fair + 1 and fair > 0:
+        return held
     return max(0, min(fair, free))
 
 
