--- a/src/banyanshed/membership.py
+++ b/src/banyanshed/membership.py
@@ -352,6 +352,8 @@
             times = self.rivals.get(entry.incarnation, 0)
             self.rivals[entry.incarnation] = times + 1
         self._outrun_heartbeat = max(self._outrun_heartbeat, entry.heartbeat)
+        # Needs no proof of reach: the rival's entry says nothing of this host.
+        self.refute()
         return True
 
     def _merge_unknown(self, now_s: float, entry: MemberEntry) -> bool:
--- a/src/banyanshed/peer.capnp
+++ b/src/banyanshed/peer.capnp
@@ -66,12 +66,6 @@
   ageS @1 :Float64;
 }
 
-struct BackendLoad {
-  backend @0 :Text;
-  load @1 :Float64;
-  ageS @2 :Float64;
-}
-
 struct GossipMessage {
   sender @0 :MemberEntry;
   version @1 :UInt64;
@@ -82,5 +76,4 @@
   wants @6 :List(Text);
   probes @7 :List(Text);
   reached @8 :List(Text);
-  loads @9 :List(BackendLoad);
 }
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -271,6 +271,20 @@
     assert {state_of(node, nodes[3]) for node in nodes} == {LEAVING}
 
 
+def test_host_restarted_after_a_planned_stop_is_live_at_once():
+    net, nodes = start(25)
+    for number in (3, 8):
+        nodes[number].core.members.leave(net.now_s)
+        net.send(nodes[number], nodes[number].core.announce(net.now_s))
+    net.run(5)
+    fresh = [net.add(number) for number in (3, 8)]
+    for node in fresh:
+        node.core.members.update_list([n.profile for n in nodes])
+    net.run(6)
+    states = {state_of(a, b) for a in net.nodes.values() for b in fresh}
+    assert states == {LIVE}
+
+
 def test_list_that_lags_neither_hides_nor_revives():
     net, nodes = start(6)
     listed = [node.profile for node in nodes]
