Move what a host holds of each limit out of leases.py

Change: holdings.py has the holdings and how plans change them; leases.py the exchange with the table, the witness and admission. No change of behaviour.

--- a/src/banyanshed/entry.py
+++ b/src/banyanshed/entry.py
@@ -13,6 +13,7 @@
 from banyanshed import configuration
 from banyanshed import freshness
 from banyanshed import gossip
+from banyanshed import holdings
 from banyanshed import leases
 from banyanshed import lookups
 from banyanshed import membership
@@ -262,7 +263,7 @@
 def _shares(holder: leases.ShareHolder, now_s: float) -> dict[str, Any]:
     held: dict[str, Any] = {}
     for key, share in sorted(holder.held.items()):
-        if isinstance(share, leases.HeldUnits):
+        if isinstance(share, holdings.HeldUnits):
             held[key] = {
                 "units": share.units,
                 "target": share.target,
--- /dev/null
+++ b/src/banyanshed/holdings.py
@@ -0,0 +1,281 @@
+"""What one host holds of each limit, and how plans change it.
+
+A plan is given up before its transaction is sent, and taken up, taken back or
+adopted from the row as the outcome becomes known.
+"""
+
+import dataclasses
+import functools
+import math
+from typing import Any
+
+from banyanshed import buckets
+from banyanshed import sessions
+from banyanshed import shares
+
+SURE_PART = 1 - 2 * sessions.CLOCK_DRIFT
+"""A rate on a fast clock times this stays within the rate."""
+
+
+@dataclasses.dataclass(slots=True)
+class HeldRate:
+    """Part of a rate limit held by this host.
+
+    Attributes:
+        limit: The limit, by this host's configuration.
+        bucket: Tokens that may be spent.
+        meter: Rate asked of this host.
+        refused: Requests refused since the last plan.
+        uncertain: Tokens to be gained, by id of a transaction whose outcome
+            is unknown.
+        uncertain_version: Version on which those were conditional.
+    """
+
+    limit: shares.RateLimit
+    bucket: buckets.TokenBucket = dataclasses.field(
+        default_factory=buckets.TokenBucket
+    )
+    meter: buckets.RateMeter = dataclasses.field(
+        default_factory=buckets.RateMeter
+    )
+    refused: float = 0
+    uncertain: dict[str, float] = dataclasses.field(default_factory=dict)
+    uncertain_version: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class HeldUnits:
+    """Units of a placement held by this host.
+
+    Attributes:
+        limit: The limit, by this host's configuration.
+        units: Units held.
+        target: Units that may be filled; the rest is returned when free.
+        in_use: Requests at work.
+        peak: Most requests at work of late.
+        meter: Rate of requests asked of this host.
+        lasting_s: Moving average of how long a request is at work.
+        refused: Requests refused since the last plan.
+        uncertain: Ids of transactions whose outcome is unknown.
+        uncertain_version: Version on which those were conditional.
+    """
+
+    limit: shares.UnitLimit
+    units: int = 0
+    target: int = 0
+    in_use: int = 0
+    peak: buckets.PeakMeter = dataclasses.field(
+        default_factory=lambda: buckets.PeakMeter(shares.COOLING_S)
+    )
+    meter: buckets.RateMeter = dataclasses.field(
+        default_factory=buckets.RateMeter
+    )
+    lasting_s: float = 0.1
+    refused: int = 0
+    uncertain: dict[str, float] = dataclasses.field(default_factory=dict)
+    uncertain_version: int = 0
+
+
+Held = HeldRate | HeldUnits
+Plan = shares.RatePlan | shares.UnitPlan
+
+
+@functools.singledispatch
+def make_held(limit: shares.Limit) -> Held:
+    """Returns an empty holding of a limit."""
+    raise TypeError(type(limit).__name__)
+
+
+@make_held.register
+def _make_rate(limit: shares.RateLimit) -> HeldRate:
+    return HeldRate(limit)
+
+
+@make_held.register
+def _make_units(limit: shares.UnitLimit) -> HeldUnits:
+    return HeldUnits(limit)
+
+
+@functools.singledispatch
+def make_plan(
+    held: Held,
+    share: Any,
+    session: shares.SessionId,
+    write_id: str,
+    now_s: float,
+    moment: shares.Moment,
+    leaving: bool,
+) -> Plan:
+    """Returns the plan of one limit for this host's present need."""
+    raise TypeError(type(held).__name__)
+
+
+@make_plan.register
+def _plan_rate(
+    held: HeldRate,
+    share: Any,
+    session: shares.SessionId,
+    write_id: str,
+    now_s: float,
+    moment: shares.Moment,
+    leaving: bool,
+) -> Plan:
+    held.bucket.refill(now_s)
+    ask = shares.RateAsk(
+        session,
+        write_id,
+        held.meter.read(now_s),
+        held.bucket.tokens,
+        held.bucket.reserved,
+        leaving,
+        held.refused > 0,
+    )
+    return shares.plan_rate(held.limit, share, ask, moment)
+
+
+@make_plan.register
+def _plan_units(
+    held: HeldUnits,
+    share: Any,
+    session: shares.SessionId,
+    write_id: str,
+    now_s: float,
+    moment: shares.Moment,
+    leaving: bool,
+) -> Plan:
+    peak = held.peak.read(now_s, held.in_use)
+    load = held.meter.read(now_s) * held.lasting_s
+    wanted = max(1, math.ceil(load + math.sqrt(load)))
+    ask = shares.UnitAsk(session, write_id, held.in_use, peak, wanted, leaving)
+    return shares.plan_units(held.limit, share, ask, moment)
+
+
+@functools.singledispatch
+def give_up(held: Held, now_s: float, plan: Any) -> None:
+    """Gives up what a plan takes away, before its transaction is sent."""
+    raise TypeError(type(held).__name__)
+
+
+@give_up.register
+def _give_up_rate(held: HeldRate, now_s: float, plan: shares.RatePlan) -> None:
+    bucket = held.bucket
+    bucket.refill(now_s)
+    bucket.tokens = max(0.0, bucket.tokens + min(0.0, plan.tokens))
+    bucket.resize(
+        now_s,
+        min(bucket.rate, plan.grant.rate * SURE_PART),
+        min(bucket.burst, plan.grant.burst),
+    )
+
+
+def _resize(held: HeldRate, now_s: float, grant: shares.RateGrant) -> None:
+    """Gives the bucket the size of a grant, on this host's own clock."""
+    held.bucket.resize(now_s, grant.rate * SURE_PART, grant.burst)
+
+
+@give_up.register
+def _give_up_units(
+    held: HeldUnits, now_s: float, plan: shares.UnitPlan
+) -> None:
+    held.units = min(held.units, plan.grant.units)
+    held.target = min(held.target, plan.target)
+
+
+@functools.singledispatch
+def take_up(held: Held, now_s: float, plan: Any) -> None:
+    """Takes what a plan grants, after its transaction took effect."""
+    raise TypeError(type(held).__name__)
+
+
+@take_up.register
+def _take_up_rate(held: HeldRate, now_s: float, plan: shares.RatePlan) -> None:
+    held.uncertain.clear()
+    held.refused = 0
+    _resize(held, now_s, plan.grant)
+    held.bucket.put(max(0.0, plan.tokens))
+
+
+@take_up.register
+def _take_up_units(
+    held: HeldUnits, now_s: float, plan: shares.UnitPlan
+) -> None:
+    held.uncertain.clear()
+    held.refused = 0
+    held.units = plan.grant.units
+    held.target = plan.target
+
+
+@functools.singledispatch
+def take_back(held: Held, now_s: float, plan: Any) -> None:
+    """Undoes `give_up`, when the transaction surely took no effect."""
+    raise TypeError(type(held).__name__)
+
+
+@take_back.register
+def _take_back_rate(
+    held: HeldRate, now_s: float, plan: shares.RatePlan
+) -> None:
+    held.bucket.put(max(0.0, -plan.tokens))
+
+
+@take_back.register
+def _take_back_units(
+    held: HeldUnits, now_s: float, plan: shares.UnitPlan
+) -> None:
+    return None
+
+
+@functools.singledispatch
+def adopt(held: Held, now_s: float, grant: Any) -> None:
+    """Takes this host's grant as the row has it; None when it has none."""
+    raise TypeError(type(held).__name__)
+
+
+@adopt.register
+def _adopt_rate(
+    held: HeldRate, now_s: float, grant: shares.RateGrant | None
+) -> None:
+    if grant is None:
+        held.bucket.resize(now_s, 0.0, 0.0)
+        held.uncertain.clear()
+        return
+    _resize(held, now_s, grant)
+    held.bucket.put(held.uncertain.get(grant.write_id, 0.0))
+    held.uncertain.clear()
+
+
+@adopt.register
+def _adopt_units(
+    held: HeldUnits, now_s: float, grant: shares.UnitGrant | None
+) -> None:
+    held.units = grant.units if grant else 0
+    held.target = held.units
+    held.uncertain.clear()
+
+
+@functools.singledispatch
+def keep(held: Held, plan: Any) -> None:
+    """Takes a plan that isn't worth a transaction."""
+    raise TypeError(type(held).__name__)
+
+
+@keep.register
+def _keep_rate(held: HeldRate, plan: shares.RatePlan) -> None:
+    return None
+
+
+@keep.register
+def _keep_units(held: HeldUnits, plan: shares.UnitPlan) -> None:
+    held.target = min(held.units, plan.target)
+
+
+@functools.singledispatch
+def is_short(held: Held) -> bool:
+    """Returns whether requests were refused for want of a larger share."""
+    raise TypeError(type(held).__name__)
+
+
+@is_short.register(HeldRate)
+@is_short.register(HeldUnits)
+def _is_short(held: Held) -> bool:
+    return held.refused > 0
--- a/src/banyanshed/leases.py
+++ b/src/banyanshed/leases.py
@@ -8,12 +8,11 @@
 from collections.abc import Iterable, Sequence
 import dataclasses
 import enum
-import functools
 import math
 import random
 from typing import Any
 
-from banyanshed import buckets
+from banyanshed import holdings
 from banyanshed import models
 from banyanshed import sessions
 from banyanshed import shares
@@ -27,8 +26,6 @@
 DEFAULT_RETRY_AFTER_S = 1.0
 UNIT_RETRY_AFTER_S = 0.2
 SESSION_READ_S = 5.0
-SURE_PART = 1 - 2 * sessions.CLOCK_DRIFT
-"""A rate on a fast clock times this stays within the rate."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,69 +80,6 @@
     RETURNED = "returned"
 
 
-@dataclasses.dataclass(slots=True)
-class HeldRate:
-    """Part of a rate limit held by this host.
-
-    Attributes:
-        limit: The limit, by this host's configuration.
-        bucket: Tokens that may be spent.
-        meter: Rate asked of this host.
-        refused: Requests refused since the last plan.
-        uncertain: Tokens to be gained, by id of a transaction whose outcome
-            is unknown.
-        uncertain_version: Version on which those were conditional.
-    """
-
-    limit: shares.RateLimit
-    bucket: buckets.TokenBucket = dataclasses.field(
-        default_factory=buckets.TokenBucket
-    )
-    meter: buckets.RateMeter = dataclasses.field(
-        default_factory=buckets.RateMeter
-    )
-    refused: float = 0
-    uncertain: dict[str, float] = dataclasses.field(default_factory=dict)
-    uncertain_version: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class HeldUnits:
-    """Units of a placement held by this host.
-
-    Attributes:
-        limit: The limit, by this host's configuration.
-        units: Units held.
-        target: Units that may be filled; the rest is returned when free.
-        in_use: Requests at work.
-        peak: Most requests at work of late.
-        meter: Rate of requests asked of this host.
-        lasting_s: Moving average of how long a request is at work.
-        refused: Requests refused since the last plan.
-        uncertain: Ids of transactions whose outcome is unknown.
-        uncertain_version: Version on which those were conditional.
-    """
-
-    limit: shares.UnitLimit
-    units: int = 0
-    target: int = 0
-    in_use: int = 0
-    peak: buckets.PeakMeter = dataclasses.field(
-        default_factory=lambda: buckets.PeakMeter(shares.COOLING_S)
-    )
-    meter: buckets.RateMeter = dataclasses.field(
-        default_factory=buckets.RateMeter
-    )
-    lasting_s: float = 0.1
-    refused: int = 0
-    uncertain: dict[str, float] = dataclasses.field(default_factory=dict)
-    uncertain_version: int = 0
-
-
-Held = HeldRate | HeldUnits
-Plan = shares.RatePlan | shares.UnitPlan
-
-
 @dataclasses.dataclass(slots=True)
 class Pending:
     """A request on its way to the table service.
@@ -162,212 +96,13 @@
     sent_s: float
     write_id: str = ""
     conditions: dict[str, int] = dataclasses.field(default_factory=dict)
-    plans: dict[shares.LimitKey, Plan] = dataclasses.field(default_factory=dict)
+    plans: dict[shares.LimitKey, holdings.Plan] = dataclasses.field(
+        default_factory=dict
+    )
     session: sessions.Session | None = None
     closes: tuple[shares.SessionId, ...] = ()
 
 
-@functools.singledispatch
-def make_held(limit: shares.Limit) -> Held:
-    """Returns an empty holding of a limit."""
-    raise TypeError(type(limit).__name__)
-
-
-@make_held.register
-def _make_rate(limit: shares.RateLimit) -> HeldRate:
-    return HeldRate(limit)
-
-
-@make_held.register
-def _make_units(limit: shares.UnitLimit) -> HeldUnits:
-    return HeldUnits(limit)
-
-
-@functools.singledispatch
-def make_plan(
-    held: Held,
-    share: Any,
-    session: shares.SessionId,
-    write_id: str,
-    now_s: float,
-    moment: shares.Moment,
-    leaving: bool,
-) -> Plan:
-    """Returns the plan of one limit for this host's present need."""
-    raise TypeError(type(held).__name__)
-
-
-@make_plan.register
-def _plan_rate(
-    held: HeldRate,
-    share: Any,
-    session: shares.SessionId,
-    write_id: str,
-    now_s: float,
-    moment: shares.Moment,
-    leaving: bool,
-) -> Plan:
-    held.bucket.refill(now_s)
-    ask = shares.RateAsk(
-        session,
-        write_id,
-        held.meter.read(now_s),
-        held.bucket.tokens,
-        held.bucket.reserved,
-        leaving,
-        held.refused > 0,
-    )
-    return shares.plan_rate(held.limit, share, ask, moment)
-
-
-@make_plan.register
-def _plan_units(
-    held: HeldUnits,
-    share: Any,
-    session: shares.SessionId,
-    write_id: str,
-    now_s: float,
-    moment: shares.Moment,
-    leaving: bool,
-) -> Plan:
-    peak = held.peak.read(now_s, held.in_use)
-    load = held.meter.read(now_s) * held.lasting_s
-    wanted = max(1, math.ceil(load + math.sqrt(load)))
-    ask = shares.UnitAsk(session, write_id, held.in_use, peak, wanted, leaving)
-    return shares.plan_units(held.limit, share, ask, moment)
-
-
-@functools.singledispatch
-def give_up(held: Held, now_s: float, plan: Any) -> None:
-    """Gives up what a plan takes away, before its transaction is sent."""
-    raise TypeError(type(held).__name__)
-
-
-@give_up.register
-def _give_up_rate(held: HeldRate, now_s: float, plan: shares.RatePlan) -> None:
-    bucket = held.bucket
-    bucket.refill(now_s)
-    bucket.tokens = max(0.0, bucket.tokens + min(0.0, plan.tokens))
-    bucket.resize(
-        now_s,
-        min(bucket.rate, plan.grant.rate * SURE_PART),
-        min(bucket.burst, plan.grant.burst),
-    )
-
-
-def _resize(held: HeldRate, now_s: float, grant: shares.RateGrant) -> None:
-    """Gives the bucket the size of a grant, on this host's own clock."""
-    held.bucket.resize(now_s, grant.rate * SURE_PART, grant.burst)
-
-
-@give_up.register
-def _give_up_units(
-    held: HeldUnits, now_s: float, plan: shares.UnitPlan
-) -> None:
-    held.units = min(held.units, plan.grant.units)
-    held.target = min(held.target, plan.target)
-
-
-@functools.singledispatch
-def take_up(held: Held, now_s: float, plan: Any) -> None:
-    """Takes what a plan grants, after its transaction took effect."""
-    raise TypeError(type(held).__name__)
-
-
-@take_up.register
-def _take_up_rate(held: HeldRate, now_s: float, plan: shares.RatePlan) -> None:
-    held.uncertain.clear()
-    held.refused = 0
-    _resize(held, now_s, plan.grant)
-    held.bucket.put(max(0.0, plan.tokens))
-
-
-@take_up.register
-def _take_up_units(
-    held: HeldUnits, now_s: float, plan: shares.UnitPlan
-) -> None:
-    held.uncertain.clear()
-    held.refused = 0
-    held.units = plan.grant.units
-    held.target = plan.target
-
-
-@functools.singledispatch
-def take_back(held: Held, now_s: float, plan: Any) -> None:
-    """Undoes `give_up`, when the transaction surely took no effect."""
-    raise TypeError(type(held).__name__)
-
-
-@take_back.register
-def _take_back_rate(
-    held: HeldRate, now_s: float, plan: shares.RatePlan
-) -> None:
-    held.bucket.put(max(0.0, -plan.tokens))
-
-
-@take_back.register
-def _take_back_units(
-    held: HeldUnits, now_s: float, plan: shares.UnitPlan
-) -> None:
-    return None
-
-
-@functools.singledispatch
-def adopt(held: Held, now_s: float, grant: Any) -> None:
-    """Takes this host's grant as the row has it; None when it has none."""
-    raise TypeError(type(held).__name__)
-
-
-@adopt.register
-def _adopt_rate(
-    held: HeldRate, now_s: float, grant: shares.RateGrant | None
-) -> None:
-    if grant is None:
-        held.bucket.resize(now_s, 0.0, 0.0)
-        held.uncertain.clear()
-        return
-    _resize(held, now_s, grant)
-    held.bucket.put(held.uncertain.get(grant.write_id, 0.0))
-    held.uncertain.clear()
-
-
-@adopt.register
-def _adopt_units(
-    held: HeldUnits, now_s: float, grant: shares.UnitGrant | None
-) -> None:
-    held.units = grant.units if grant else 0
-    held.target = held.units
-    held.uncertain.clear()
-
-
-@functools.singledispatch
-def keep(held: Held, plan: Any) -> None:
-    """Takes a plan that isn't worth a transaction."""
-    raise TypeError(type(held).__name__)
-
-
-@keep.register
-def _keep_rate(held: HeldRate, plan: shares.RatePlan) -> None:
-    return None
-
-
-@keep.register
-def _keep_units(held: HeldUnits, plan: shares.UnitPlan) -> None:
-    held.target = min(held.units, plan.target)
-
-
-@functools.singledispatch
-def is_short(held: Held) -> bool:
-    """Returns whether requests were refused for want of a larger share."""
-    raise TypeError(type(held).__name__)
-
-
-@is_short.register(HeldRate)
-@is_short.register(HeldUnits)
-def _is_short(held: Held) -> bool:
-    return held.refused > 0
-
-
 class ShareHolder:
     """The shares of one host."""
 
@@ -393,7 +128,7 @@
         self.clock = sessions.StoreClock()
         self.witness = sessions.Witness(host, incarnation)
         self.phase = Phase.HOLDING
-        self.held: dict[shares.LimitKey, Held] = {}
+        self.held: dict[shares.LimitKey, holdings.Held] = {}
         self.retiring: set[shares.LimitKey] = set()
         self.rows: dict[str, models.TableRow] = {}
         self.parsed: dict[shares.LimitKey, tuple[models.TableRow, Any]] = {}
@@ -428,9 +163,11 @@
         self.sent_s: dict[int, float] = {}
         self.next_heartbeat_s = 0.0
         for key, held in self.held.items():
-            empty = make_held(held.limit)
+            empty = holdings.make_held(held.limit)
             empty.refused = held.refused
-            if isinstance(held, HeldRate) and isinstance(empty, HeldRate):
+            if isinstance(held, holdings.HeldRate) and isinstance(
+                empty, holdings.HeldRate
+            ):
                 empty.meter = held.meter
             self.held[key] = empty
         self._index()
@@ -446,7 +183,7 @@
         for key, limit in wanted.items():
             held = self.held.get(key)
             if held is None or type(held.limit) is not type(limit):
-                self.held[key] = make_held(limit)
+                self.held[key] = holdings.make_held(limit)
                 continue
             held.limit = limit
         returned = self.retiring
@@ -458,14 +195,14 @@
 
     def _index(self) -> None:
         """Makes the maps of the holdings that may be spent."""
-        self.tenants: dict[str, HeldRate] = {}
-        self.links: dict[tuple[str, ...], HeldRate] = {}
-        self.placements: dict[tuple[str, ...], HeldUnits] = {}
+        self.tenants: dict[str, holdings.HeldRate] = {}
+        self.links: dict[tuple[str, ...], holdings.HeldRate] = {}
+        self.placements: dict[tuple[str, ...], holdings.HeldUnits] = {}
         for key, held in self.held.items():
             if key in self.retiring:
                 continue
             _, kind, *names = key.split("/")
-            if isinstance(held, HeldUnits):
+            if isinstance(held, holdings.HeldUnits):
                 self.placements[tuple(names)] = held
             elif kind == "tenant":
                 self.tenants[names[0]] = held
@@ -533,7 +270,9 @@
     def release(self, now_s: float, unit: Unit) -> None:
         """Takes a unit back when its request has ended."""
         held = self.held.get(unit.key)
-        if unit.session != self.session or not isinstance(held, HeldUnits):
+        if unit.session != self.session or not isinstance(
+            held, holdings.HeldUnits
+        ):
             return
         held.in_use = max(0, held.in_use - 1)
         held.lasting_s += 0.05 * (now_s - unit.at_s - held.lasting_s)
@@ -566,7 +305,7 @@
         held = self.held.get(reservation.key)
         if reservation.session != self.session:
             return
-        if not isinstance(held, HeldRate):
+        if not isinstance(held, holdings.HeldRate):
             return
         held.meter.count -= max(0.0, reservation.size - used)
         held.bucket.settle(now_s, reservation.size, used)
@@ -648,7 +387,7 @@
             if share is not None:
                 yield from share.grants
 
-    def _share(self, key: shares.LimitKey, held: Held) -> Any:
+    def _share(self, key: shares.LimitKey, held: holdings.Held) -> Any:
         """Returns a share as last seen, parsed once a version."""
         row = self.rows.get(key)
         if row is None:
@@ -662,7 +401,7 @@
 
     def _schedule(self, now_s: float) -> None:
         """Sets the time of the next read."""
-        short = any(is_short(held) for held in self.held.values())
+        short = any(holdings.is_short(held) for held in self.held.values())
         wait_s = BUSY_READ_S if short else QUIET_READ_S
         for held in self.held.values():
             held.refused = 0
@@ -702,12 +441,12 @@
             if returning and not (share and self._own_grant(share)):
                 self._forget(key)
                 continue
-            plan = make_plan(
+            plan = holdings.make_plan(
                 held, share, self.session, pending.write_id, now_s, moment,
                 returning,
             )  # fmt: skip
             if not plan.worthwhile:
-                keep(held, plan)
+                holdings.keep(held, plan)
                 continue
             pending.plans[key] = plan
             pending.conditions[key] = row.version
@@ -718,7 +457,7 @@
                 self.phase = Phase.RETURNED
             return None
         for key, plan in pending.plans.items():
-            give_up(self.held[key], now_s, plan)
+            holdings.give_up(self.held[key], now_s, plan)
         self.pending = pending
         conditions = tuple(
             models.Condition(key, version)
@@ -740,7 +479,7 @@
             return []  # A session row alone can't conflict.
         if self.conflicts < 3:
             return keys
-        short = [key for key in keys if is_short(self.held[key])]
+        short = [key for key in keys if holdings.is_short(self.held[key])]
         if short:
             keys = short
         count = max(1, len(keys) >> (self.conflicts - 2))
@@ -865,7 +604,7 @@
                     return
 
     def _adopt_share(
-        self, now_s: float, held: Held, row: models.TableRow
+        self, now_s: float, held: holdings.Held, row: models.TableRow
     ) -> None:
         """Takes this host's part of a share row.
 
@@ -880,7 +619,7 @@
         changed = bool(held.uncertain) or grant is None
         held.uncertain_version = 0
         if changed:
-            adopt(held, now_s, grant)
+            holdings.adopt(held, now_s, grant)
 
     def _adopt_session(self, now_s: float, row: models.TableRow) -> None:
         """Takes this host's session row; another session if it has ended."""
@@ -919,7 +658,7 @@
             held = self.held.get(key)
             if held is None:
                 continue
-            take_up(held, now_s, plan)
+            holdings.take_up(held, now_s, plan)
             held.uncertain_version = 0
             row = models.TableRow(
                 key, commit.version, shares.share_value(plan.share)
@@ -991,8 +730,8 @@
                 continue
             share = self._share(key, held)
             grant = None if share is None else self._own_grant(share)
-            adopt(held, now_s, grant)
-            take_back(held, now_s, plan)
+            holdings.adopt(held, now_s, grant)
+            holdings.take_back(held, now_s, plan)
 
     def _back_off(self, now_s: float) -> None:
         """Waits longer after each failure of the store."""
