Let tests cut one host off from the store and see when requests ran

Cause: a proof of what a host does that is cut off alone needs a fault of one host's way to the store; the platform's faults hit all hosts. Proofs of limits need the times of executions.

Change: a relay in front of the table service for each host of a fleet; start and end in the records of backend servers; the deadline in a site's limits.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -104,6 +104,7 @@
                 self.cold_requests -= 1
                 work_s += self.faults.cold_ms / 1000
         time.sleep(work_s)
+        execution["ended_s"] = time.monotonic()
         return number
 
     def executed(self) -> dict[str, Any]:
@@ -197,6 +198,8 @@
                 "method": self.command,
                 "path": self.path,
                 "headers": dict(self.headers.items()),
+                "started_s": time.monotonic(),
+                "ended_s": None,
             }
         )
         time.sleep(backend.faults.hang_s)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,6 +18,7 @@
 import yaml
 
 from standins import processes
+from standins import relay
 
 OPERATOR_TOKEN = "operator-token-of-the-stand-in-installation"
 FLEET_SECRET = "fleet-secret-of-the-stand-in-installation"
@@ -54,6 +55,7 @@
         platform: The platform's stand-in.
         backends: Backend servers by id.
         hosts: Entry hosts by id.
+        relays: What carries each host's calls to the table service.
     """
 
     def __init__(self, exits: contextlib.ExitStack, store_region: str):
@@ -66,6 +68,7 @@
         self.backends: dict[str, processes.Child] = {}
         self.hosts: dict[str, processes.Child] = {}
         self.settings: dict[str, dict[str, Any]] = {}
+        self.relays: dict[str, relay.Relay] = {}
         self.platform = processes.start(
             exits,
             "standins.platform",
@@ -126,13 +129,15 @@
             "caller_address": f"{ip}:{CALLER_PORT}",
             "peer_address": f"{ip}:{PEER_PORT}",
         }
+        table = relay.Relay(self.exits, ip, self.platform.address)
+        self.relays[host] = table
         digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
         self.settings[host] = {
             "host": host,
             **entry,
             "store_region": self.store_region,
             "platform": {
-                "table_address": self.platform.address,
+                "table_address": table.address,
                 "objects_address": self.platform.address,
                 "hosts_address": self.platform.address,
             },
--- a/standins/sites.py
+++ b/standins/sites.py
@@ -30,6 +30,7 @@
         limit: Requests at work in each placement.
         shift_cap: Requests that may move in an interval.
         link_bytes_per_s: Bytes a second between the regions.
+        deadline_s: Longest time of a request in seconds.
     """
 
     rate: float = 200
@@ -37,6 +38,7 @@
     limit: int = SLOTS
     shift_cap: int = SLOTS
     link_bytes_per_s: float = 50e6
+    deadline_s: float = 10
 
 
 def region_rows(limits: Limits) -> list[rows.AnyRow]:
@@ -97,7 +99,8 @@
 ) -> list[rows.AnyRow]:
     """Returns all rows of an installation with one tenant."""
     services: list[rows.AnyRow] = [
-        rows.ServiceRow(service=service) for service in SERVICES
+        rows.ServiceRow(service=service, deadline_s=limits.deadline_s)
+        for service in SERVICES
     ]
     tenant = rows.TenantRow(tenant=TENANT, rate=limits.rate, burst=limits.burst)
     return [
