Refuse a key in any place but Authorization, whoever's it is

Cause: a key in the path, the query or another header was refused only when the same key also stood in Authorization. Without it, or under another tenant's key, a backend server saw it: on a route open to all always. Percent-encoded headers and names of headers were not looked at.

Change: anything that has the form of a key is refused with key_elsewhere, through some layers of percent-encoding. A body is not looked into.

--- a/src/banyanshed/keys.py
+++ b/src/banyanshed/keys.py
@@ -3,13 +3,18 @@
 from collections.abc import Mapping
 import hashlib
 import hmac
+import re
 import secrets
+import urllib.parse
 
 from banyanshed import models
 
 KEY_PREFIX = "bsk_"
 KEY_BYTES = 32
 BEARER = "bearer "
+# A name of a header arrives without its case and underscores.
+KEY_PATTERN = re.compile(r"bsk[_-][a-z0-9_-]{43}", re.IGNORECASE)
+MAX_QUOTINGS = 4
 
 
 def make_key() -> str:
@@ -23,6 +28,19 @@
     return models.KeyDigest(hashlib.sha256(encoded).hexdigest())
 
 
+def holds_key(text: str) -> bool:
+    """Returns whether a key stands in a text, percent-encoded or not."""
+    for _ in range(MAX_QUOTINGS):
+        if KEY_PATTERN.search(text):
+            return True
+        unquoted = urllib.parse.unquote(text)
+        if unquoted == text:
+            return False
+        text = unquoted
+    # So many layers of encoding have no other use than hiding something.
+    return True
+
+
 def bearer(authorization: str) -> str | None:
     """Returns the credential of an Authorization header, if it is a bearer."""
     if not authorization.lower().startswith(BEARER):
--- a/src/banyanshed/web.py
+++ b/src/banyanshed/web.py
@@ -154,8 +154,7 @@
         target += "?" + environ["QUERY_STRING"]
     key = _read_key(environ)
     headers = dict(_forwarded_headers(environ))
-    if key is not None:
-        _refuse_key_elsewhere(key, target, headers)
+    _refuse_key_elsewhere(key, target, headers)
     return requests.CallerRequest(
         request_id=uuid.uuid4().hex,
         service=models.ServiceId(service),
@@ -184,10 +183,14 @@
 
 
 def _refuse_key_elsewhere(
-    key: str, target: str, headers: Mapping[str, str]
+    key: str | None, target: str, headers: Mapping[str, str]
 ) -> None:
-    places = [target, urllib.parse.unquote(target), *headers.values()]
-    if any(key in place for place in places):
+    """Refuses a key outside Authorization, be it this tenant's or not."""
+    places = [target, *headers, *headers.values()]
+    for place in places:
+        copied = key is not None and key in urllib.parse.unquote(place)
+        if not copied and not keys.holds_key(place):
+            continue
         raise InvalidRequest(
             problems.refuse(
                 400,
--- /dev/null
+++ b/tests/test_key_proofs.py
@@ -0,0 +1,240 @@
+"""Keys at running hosts: where they are seen, and when they stop."""
+
+import contextlib
+import json
+import signal
+import time
+import urllib.parse
+
+import pytest
+import urllib3
+
+from banyanshed import rows
+from standins import fleet as fleets
+from standins import sites
+
+pytestmark = [pytest.mark.processes, pytest.mark.invariant("keys")]
+
+OTHER = "other-club"
+WITHDRAWAL_S = 5.0
+FREEZE_S = 6.0
+HANG_S = 60.0
+OPEN = "walk-in"
+
+
+@pytest.fixture(scope="module")
+def site():
+    with contextlib.ExitStack() as exits:
+        fleet = fleets.Fleet(exits, store_region="sask")
+        found = sites.start(fleet, sites.Limits(rate=2000, burst=2000))
+        board = fleet.backends["board-sask-1"].address
+        extra = [
+            rows.TenantRow(tenant=OTHER, rate=500, burst=500),
+            rows.ServiceRow(service=OPEN, open_to_all=True),
+            rows.PlacementRow(
+                service=OPEN, region="sask", weight=100, limit=8, shift_cap=8
+            ),
+            rows.BackendRow(
+                service=OPEN,
+                backend="walk-in-1",
+                region="sask",
+                zone="sask-a",
+                address=board,
+                slots=8,
+            ),
+        ]
+        fleet.operate("POST", "sheet", sites.as_sheet(extra).encode())
+        yield found
+
+
+@pytest.fixture
+def fleet(site):
+    yield site.fleet
+    for relay in site.fleet.relays.values():
+        relay.set_cut(False)
+
+
+@pytest.fixture
+def pools(fleet):
+    """One kept connection to each host."""
+    with contextlib.ExitStack() as exits:
+        found = {}
+        for host, child in fleet.hosts.items():
+            ip, port = child.address.split(":")
+            pool = urllib3.HTTPConnectionPool(
+                ip, int(port), maxsize=1, block=True, retries=False, timeout=30
+            )
+            exits.callback(pool.close)
+            found[host] = pool
+        yield found
+
+
+def read(pool, key, path="/services/board/x", **headers):
+    sent = {"Authorization": f"Bearer {key}"} | headers
+    return pool.request("GET", path, headers=sent)
+
+
+def code_of(answer):
+    return "served" if answer.status == 200 else answer.json()["code"]
+
+
+def await_code(pool, key, code):
+    """Asks until the outcome is as wanted; returns when it was, or hangs."""
+    end_s = time.monotonic() + HANG_S
+    seen = None
+    while time.monotonic() < end_s:
+        seen = code_of(read(pool, key))
+        if seen == code:
+            return time.monotonic()
+        time.sleep(0.1)
+    raise AssertionError(f"{seen} instead of {code}")
+
+
+def issue(fleet, pools, tenant=sites.TENANT):
+    """Issues a key and waits until every host serves it."""
+    issued = fleet.operate("POST", "key", {"tenant": tenant})
+    fleet.await_version(issued["version"])
+    for pool in pools.values():
+        await_code(pool, issued["key"], "served")
+    return issued
+
+
+def withdraw(fleet, issued, host=None):
+    started_s = time.monotonic()
+    fleet.operate("POST", "withdraw_key", {"digest": issued["digest"]}, host)
+    return started_s
+
+
+def executions(fleet):
+    for backend in fleet.backends.values():
+        yield from backend.get("/_executed")["executions"]
+
+
+def keyed_forms(key):
+    quoted = "".join(f"%{ord(letter):02x}" for letter in key)
+    twice = urllib.parse.quote(quoted, safe="")
+    for form in (key, quoted, twice):
+        yield f"/x/{form}", {}
+        yield f"/x?key={form}", {}
+        yield "/x", {"X-Key": form}
+        yield "/x", {"Cookie": f"a=b; key={form}"}
+        yield "/x", {"Idempotency-Key": form}
+    yield "/x", {key: "1"}
+
+
+def test_no_form_of_a_key_reaches_a_backend_server(fleet, pools):
+    issued = issue(fleet, pools)
+    pool = pools["sask-a-1"]
+    other = issue(fleet, pools, OTHER)["key"]
+    key = issued["key"]
+    for scheme in ("Bearer", "bearer", "BEARER"):
+        for name in ("Authorization", "authorization", "AUTHORIZATION"):
+            answer = pool.request(
+                "GET", "/services/board/x", headers={name: f"{scheme} {key}"}
+            )
+            assert answer.status == 200
+    for service in ("board", OPEN):
+        for sent in ({}, {"Authorization": f"Bearer {other}"}):
+            for path, headers in keyed_forms(key):
+                answer = pool.request(
+                    "GET",
+                    f"/services/{service}{path}",
+                    headers=headers | sent,
+                )
+                assert answer.status == 400, (service, path, headers, sent)
+                assert answer.json()["code"] == "key_elsewhere"
+                assert answer.headers["Banyanshed-Ran"] == "no"
+    secrets = [secret.lower() for secret in (key, other)]
+    runs = list(executions(fleet))
+    assert runs
+    for run in runs:
+        assert "authorization" not in {name.lower() for name in run["headers"]}
+        seen = urllib.parse.unquote(urllib.parse.unquote(json.dumps(run)))
+        assert not any(secret in seen.lower() for secret in secrets)
+
+
+def test_a_request_runs_for_the_tenant_of_its_key_only(fleet, pools):
+    mine = issue(fleet, pools)["key"]
+    other = issue(fleet, pools, OTHER)["key"]
+    wanted = {}
+    for host, pool in pools.items():
+        for key, tenant in ((mine, sites.TENANT), (other, OTHER)):
+            for spoof in (sites.TENANT, OTHER):
+                path = f"/tenant/{host}/{tenant}/{spoof}"
+                answer = read(
+                    pool,
+                    key,
+                    f"/services/board{path}",
+                    **{"Banyanshed-Tenant": spoof, "BANYANSHED_TENANT": spoof},
+                )
+                assert answer.status == 200
+                wanted[path] = [tenant]
+    seen = {}
+    for run in executions(fleet):
+        if run["path"] in wanted:
+            tenants = seen.setdefault(run["path"], [])
+            for name, value in run["headers"].items():
+                if name.lower().replace("_", "-") == "banyanshed-tenant":
+                    tenants.append(value)
+    assert seen == wanted
+
+
+def test_a_withdrawn_key_stops_at_every_host(fleet, pools):
+    """Also at a host that is cut off from the store and asks its peers."""
+    kept = issue(fleet, pools)
+    gone = issue(fleet, pools)
+    fleet.relays["alberta-a-1"].set_cut(True)
+    await_code(pools["alberta-a-1"], kept["key"], "served")
+    started_s = withdraw(fleet, gone)
+    for pool in pools.values():
+        stopped_s = await_code(pool, gone["key"], "bad_key")
+        assert stopped_s - started_s <= WITHDRAWAL_S
+    for pool in pools.values():
+        assert pool.num_connections == 1
+        await_code(pool, kept["key"], "served")
+        assert code_of(read(pool, gone["key"])) == "bad_key"
+
+
+def test_a_host_that_restarts_in_an_outage_refuses_a_withdrawn_key(
+    fleet, pools
+):
+    kept = issue(fleet, pools)
+    gone = issue(fleet, pools)
+    withdraw(fleet, gone)
+    await_code(pools["sask-b-1"], gone["key"], "bad_key")
+    await_code(pools["alberta-a-1"], gone["key"], "bad_key")
+    for relay in fleet.relays.values():
+        relay.set_cut(True)
+    child = fleet.hosts["sask-b-1"]
+    child.process.kill()
+    child.process.wait()
+    fleet.start_host("sask-b-1")
+    # It knows the key, but holds no share of the tenant's rate in an outage.
+    await_code(pools["sask-b-1"], kept["key"], "no_share")
+    assert code_of(read(pools["sask-b-1"], gone["key"])) == "bad_key"
+    for host in ("sask-a-1", "alberta-a-1"):
+        await_code(pools[host], kept["key"], "served")
+        assert code_of(read(pools[host], gone["key"])) == "bad_key"
+    for relay in fleet.relays.values():
+        relay.set_cut(False)
+    await_code(pools["sask-b-1"], kept["key"], "served")
+    assert code_of(read(pools["sask-b-1"], gone["key"])) == "bad_key"
+
+
+def test_a_host_frozen_during_the_withdrawal_serves_nothing_under_the_key(
+    fleet, pools
+):
+    gone = issue(fleet, pools)
+    frozen = fleet.hosts["alberta-a-1"]
+    frozen.process.send_signal(signal.SIGSTOP)
+    try:
+        withdraw(fleet, gone)
+        time.sleep(FREEZE_S)
+    finally:
+        frozen.process.send_signal(signal.SIGCONT)
+    resumed_s = time.monotonic()
+    codes = []
+    while not codes or codes[-1] != "bad_key":
+        assert time.monotonic() - resumed_s <= WITHDRAWAL_S, codes
+        codes.append(code_of(read(pools["alberta-a-1"], gone["key"])))
+    assert "served" not in codes
