--- a/standins/backend.py
+++ b/standins/backend.py
@@ -104,7 +104,6 @@
                 self.cold_requests -= 1
                 work_s += self.faults.cold_ms / 1000
         time.sleep(work_s)
-        execution["ended_s"] = time.monotonic()
         return number
 
     def executed(self) -> dict[str, Any]:
@@ -191,18 +190,18 @@
         """Executes a request and answers, as the faults have it."""
         backend = self.backend
         request_id = self.headers.get(REQUEST_ID, "")
-        number = backend.execute(
-            {
-                "request_id": request_id,
-                "idempotency_key": self.headers.get(IDEMPOTENCY_KEY),
-                "method": self.command,
-                "path": self.path,
-                "headers": dict(self.headers.items()),
-                "started_s": time.monotonic(),
-                "ended_s": None,
-            }
-        )
+        execution: dict[str, Any] = {
+            "request_id": request_id,
+            "idempotency_key": self.headers.get(IDEMPOTENCY_KEY),
+            "method": self.command,
+            "path": self.path,
+            "headers": dict(self.headers.items()),
+            "started_s": time.monotonic(),
+            "ended_s": None,
+        }
+        number = backend.execute(execution)
         time.sleep(backend.faults.hang_s)
+        execution["ended_s"] = time.monotonic()
         content = json.dumps(
             {
                 "service": backend.service,
