Heed backend servers that the list of hosts says are leaving

Cause: backends.Sign.HOST_LIST existed, and nothing fed it, so a backend server whose host the platform was taking away kept getting work.

Ruled out: a second GET for backend servers alone, which would double the calls to the list; entries mixed with those of entry hosts, which an older reader could not parse.

Change: /hosts may carry leaving_backends, a list of IP:port. HostList.read() returns a HostPage with the entry hosts and these addresses; traffic gives them to the backend servers' record, again on each new configuration. The stand-in takes PUT /hosts/NAME with an address and a state, and tells with GET /fault what is left of a fault.

--- a/src/banyanshed/daemon.py
+++ b/src/banyanshed/daemon.py
@@ -296,7 +296,8 @@
 
     async def read_hosts(self) -> None:
         """Reads the platform's list of hosts."""
-        self.entry.on_hosts(await self._in_platform(self.host_list.hosts))
+        page = await self._in_platform(self.host_list.read)
+        self.entry.on_hosts(time.monotonic(), page)
 
     async def move_shares(self) -> None:
         """Carries one request of the share holder to the table service."""
--- a/src/banyanshed/entry.py
+++ b/src/banyanshed/entry.py
@@ -4,7 +4,6 @@
 monotonic clock, and carries out what it returns.
 """
 
-from collections.abc import Iterable
 import dataclasses
 import random
 from typing import Any
@@ -150,9 +149,10 @@
 
     # Fleet.
 
-    def on_hosts(self, hosts: Iterable[models.ListedHost]) -> None:
+    def on_hosts(self, now_s: float, page: models.HostPage) -> None:
         """Takes the platform's list of hosts."""
-        self.members.update_list(hosts)
+        self.members.update_list(page.hosts)
+        self.traffic.on_leaving_hosts(now_s, page.leaving_addresses)
 
     def refresh(self, now_s: float) -> None:
         """Takes over what membership and the clock have changed."""
--- a/src/banyanshed/hostlists.py
+++ b/src/banyanshed/hostlists.py
@@ -13,12 +13,15 @@
         """Takes "IP:port" of the service and the longest wait for a call."""
         self.caller = calls.PlatformCaller(address, timeout_s)
 
-    def hosts(self) -> tuple[models.ListedHost, ...]:
-        """Returns the entry hosts as the platform knows them."""
+    def read(self) -> models.HostPage:
+        """Returns the hosts as the platform knows them."""
         response = self.caller.call("GET", "/hosts")
         with calls.checked_answer():
-            entries = json.loads(response.data)["hosts"]
-            return tuple(_host(entry) for entry in entries)
+            page = json.loads(response.data)
+            return models.HostPage(
+                tuple(_host(entry) for entry in page["hosts"]),
+                frozenset(page.get("leaving_backends", ())),
+            )
 
     def close(self) -> None:
         """Closes idle connections."""
--- a/src/banyanshed/models.py
+++ b/src/banyanshed/models.py
@@ -135,6 +135,19 @@
     state: HostState
 
 
+@dataclasses.dataclass(frozen=True)
+class HostPage:
+    """What the platform's list of hosts said at one moment.
+
+    Attributes:
+        hosts: The entry hosts.
+        leaving_addresses: "IP:port" of backend servers whose hosts leave.
+    """
+
+    hosts: tuple[ListedHost, ...]
+    leaving_addresses: frozenset[str] = frozenset()
+
+
 @dataclasses.dataclass(frozen=True)
 class Refusal:
     """A final answer that no backend server's answer stands behind.
--- a/src/banyanshed/platform.py
+++ b/src/banyanshed/platform.py
@@ -40,5 +40,5 @@
 class HostList(Protocol):
     """The platform's lagging list of live and leaving hosts."""
 
-    def hosts(self) -> tuple[models.ListedHost, ...]:
-        """Returns the entry hosts as the platform knows them."""
+    def read(self) -> models.HostPage:
+        """Returns the hosts as the platform knows them."""
--- a/src/banyanshed/traffic.py
+++ b/src/banyanshed/traffic.py
@@ -126,6 +126,7 @@
         self.delayed: list[tuple[float, int, str]] = []
         self.sequence = itertools.count()
         self.words = itertools.count(1)
+        self.leaving_addresses: frozenset[str] = frozenset()
         self.probe_due_s: dict[tuple[str, str], float] = {}
         self.retried = 0
 
@@ -166,10 +167,27 @@
         self.backends.configure(now_s, backend_rows, self.config.version)
         for row in backend_rows:
             leaving = rows.row_key(row) in drained
-            self._report_drain(now_s, row, leaving)
+            self._report(now_s, row, backends.Sign.DRAIN, leaving)
+            self._report_listed(now_s, row)
 
-    def _report_drain(
-        self, now_s: float, row: rows.BackendRow, leaving: bool
+    def on_leaving_hosts(self, now_s: float, addresses: frozenset[str]) -> None:
+        """Takes "IP:port" of backend servers that the host list says leave."""
+        if addresses == self.leaving_addresses:
+            return
+        self.leaving_addresses = addresses
+        for backend in self.backends.known.values():
+            self._report_listed(now_s, backend.row)
+
+    def _report_listed(self, now_s: float, row: rows.BackendRow) -> None:
+        leaving = row.address in self.leaving_addresses
+        self._report(now_s, row, backends.Sign.HOST_LIST, leaving)
+
+    def _report(
+        self,
+        now_s: float,
+        row: rows.BackendRow,
+        sign: backends.Sign,
+        leaving: bool,
     ) -> None:
         state = models.BackendState.LIVE
         if leaving:
@@ -177,7 +195,7 @@
         report = backends.SignReported(
             models.ServiceId(row.service),
             models.BackendId(row.backend),
-            backends.Sign.DRAIN,
+            sign,
             state,
             next(self.words),
         )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform: table service, object store and host list.
 
-All of it lives in memory. `PUT /fault` sets what goes wrong:
+All of it lives in memory. `PUT /fault` sets what goes wrong, `GET /fault` tells
+what is left of it:
 
     mode: "none"; "down" answers 503 and nothing takes effect; "cut" closes
         the connection before the request is handled; "slow" waits `delay_s`
@@ -111,10 +112,20 @@
             for at_s, entries in self.hosts:
                 if at_s <= shown_at_s:
                     shown = entries
-            return {"hosts": list(shown.values())}
+        leaving = []
+        hosts = []
+        for entry in shown.values():
+            if "address" not in entry:
+                hosts.append(entry)
+            elif entry["state"] == "leaving":
+                leaving.append(entry["address"])
+        return {"hosts": hosts, "leaving_backends": leaving}
 
     def set_host(self, host: str, entry: dict[str, Any] | None) -> None:
-        """Registers, replaces or removes the entry of a host."""
+        """Registers, replaces or removes the entry of a host.
+
+        One with an "address" is the host of a backend server.
+        """
         with self.lock:
             entries = dict(self.hosts[-1][1])
             entries.pop(host, None)
@@ -187,6 +198,8 @@
         """Handles objects, the list of hosts and the counters."""
         if self.path == "/counters":
             self.answer_json(200, self.platform.counters)
+        elif self.path == "/fault":
+            self.answer_json(200, self.platform.fault)
         elif self.path == "/hosts":
             if self.admit(["hosts"], writes=False) not in ("down", "cut"):
                 self.answer_json(200, self.platform.list_hosts())
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -102,10 +102,10 @@
     platform.put("/hosts/h1", entry)
     host_list = hostlists.HttpHostList(platform.address)
     with contextlib.closing(host_list):
-        (host,) = host_list.hosts()
+        (host,) = host_list.read().hosts
         assert (host.host, host.state) == ("h1", models.HostState.LIVE)
         platform.put("/fault", {"hosts_lag_s": 1000})
-        assert host_list.hosts() == ()
+        assert host_list.read().hosts == ()
 
 
 @pytest.mark.processes
