--- a/standins/backend.py
+++ b/standins/backend.py
@@ -10,6 +10,9 @@
         an answer to another request; answered twice; run but not answered.
     hang_s: Wait after the work and before the answer, in seconds.
     cold_ms: Extra work of the first COLD_REQUESTS requests from now on.
+    answer_leaving: Answers to work say that it is leaving; nothing else does.
+    lenient: Work is taken, without a sign in its answers, while leaving.
+    padding_bytes: Length of a filler in answers, made of the request's path.
 """
 
 import collections
@@ -53,6 +56,9 @@
     drop_after_run: int = 0
     hang_s: float = 0.0
     cold_ms: float = 0.0
+    answer_leaving: bool = False
+    lenient: bool = False
+    padding_bytes: int = 0
 
 
 class Backend:
@@ -80,11 +86,15 @@
             setattr(self.faults, fault, left - 1)
             return True
 
+    @property
+    def refuses_as_leaving(self) -> bool:
+        """Whether it takes no work since it is leaving."""
+        return self.faults.health == "leaving" and not self.faults.lenient
+
     def start(self) -> bool:
         """Takes a slot; false when leaving or when none is free."""
         with self.lock:
-            leaving = self.faults.health == "leaving"
-            if leaving or self.in_flight >= self.slots:
+            if self.refuses_as_leaving or self.in_flight >= self.slots:
                 return False
             self.in_flight += 1
             return True
@@ -123,11 +133,18 @@
 
     def drain(self) -> None:
         """Refuses new work and waits until no request is at work."""
-        self.faults.health = "leaving"
+        self.faults = dataclasses.replace(
+            self.faults, health="leaving", lenient=False
+        )
         while self.in_flight:
             time.sleep(POLL_S)
 
 
+def pad(path: str, size: int) -> str:
+    """Returns a filler of so many characters that differs for each path."""
+    return (path * (size // len(path) + 1))[:size]
+
+
 class BackendHandler(serving.Handler):
     """Maps paths to work, reports and faults."""
 
@@ -172,7 +189,8 @@
     def shared_headers(self) -> dict[str, str]:
         """Returns the headers of every answer to work."""
         headers = {REQUEST_ID: self.headers.get(REQUEST_ID, "")}
-        if self.backend.faults.health == "leaving":
+        leaving = self.backend.faults.answer_leaving
+        if leaving or self.backend.refuses_as_leaving:
             headers |= LEAVING
         return headers
 
@@ -211,6 +229,7 @@
                 "path": self.path,
                 "body_bytes": len(body),
                 "body_digest": hashlib.sha256(body).hexdigest(),
+                "padding": pad(self.path, backend.faults.padding_bytes),
             }
         ).encode()
         if backend.take("drop_after_run"):
