Steer each service to few hosts of each region

Cause: headroom was missed because units are whole: with 42 to 84 units on 25 hosts one host refuses while another has units free. Ruled out: passing requests on to peers (a further hop, a further place where answers are lost); more units than the limit. Change: look-ups name one host of a region for every 8 units of a service, at least two, in all availability zones in turn; a tenant's subset is among them.

--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -21,12 +21,14 @@
 from banyanshed import buckets
 from banyanshed import exceptions
 from banyanshed import leases
+from banyanshed import lookups
 from banyanshed import models
 from banyanshed import sessions
 from banyanshed import shares
 from standins import memory
 
 HOSTS = 25
+REGIONS = 3
 WARM_S = 40.0
 MEASURE_S = 20.0
 POLL_S = 0.05
@@ -575,7 +577,8 @@
                 report_tenants(site, scenario, policy)
     for site in SITES:
         report_headroom(site, HOSTS)
-        report_headroom(site, shares.hosts_for_burst(site.units, HOSTS))
+        steered = REGIONS * lookups.service_hosts(site.units, REGIONS)
+        report_headroom(site, steered)
         report_drain(site)
 
 
--- a/src/banyanshed/entry.py
+++ b/src/banyanshed/entry.py
@@ -215,14 +215,26 @@
         tenant: str | None,
         service: str,
     ) -> lookups.Caller:
+        service_id = models.ServiceId(service)
+        regions = max(1, len(self.lookup.regions))
+        placements = self.config.placements.get(service_id, {})
+        units = sum(row.limit for row in placements.values())
+        service_hosts = lookups.service_hosts(units, regions)
         tenant_id = None if tenant is None else models.TenantId(tenant)
         row = None if tenant_id is None else self.config.tenants.get(tenant_id)
         if row is None:
-            return lookups.Caller(client, site, None, models.ServiceId(service))
-        regions = max(1, len(self.lookup.regions))
+            return lookups.Caller(
+                client, site, None, service_id, service_hosts=service_hosts
+            )
         hosts = lookups.subset_hosts(row.rate, row.burst, regions)
+        # A tenant whose rate needs more hosts than the service's units goes on.
         return lookups.Caller(
-            client, site, tenant_id, models.ServiceId(service), hosts
+            client,
+            site,
+            tenant_id,
+            service_id,
+            hosts,
+            max(hosts, service_hosts),
         )
 
     # State.
--- a/src/banyanshed/lookups.py
+++ b/src/banyanshed/lookups.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable, Mapping
 import dataclasses
+import itertools
 import math
 
 import xxhash
@@ -16,6 +17,7 @@
 
 REQUESTS_PER_HOST_PER_S = 200
 MIN_SUBSET_HOSTS = 2
+UNITS_PER_HOST = 8
 MAX_CACHED_SUBSETS = 16384
 
 
@@ -42,6 +44,8 @@
         tenant: Its tenant; None for services open to all.
         service: The service it will call.
         subset_hosts: Hosts in a region that serve this tenant.
+        service_hosts: Hosts in a region that serve this service; the
+            tenant's are among them. None for all.
     """
 
     address: str
@@ -49,6 +53,7 @@
     tenant: models.TenantId | None
     service: models.ServiceId
     subset_hosts: int = MIN_SUBSET_HOSTS
+    service_hosts: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,6 +80,20 @@
     return max(1, min(wanted, burst // max(1, regions)))
 
 
+def service_hosts(units: int, regions: int) -> int:
+    """Returns how many hosts of each region serve a service.
+
+    Units are whole; with few on each host, one host refuses while another has
+    some free.
+
+    Args:
+        units: Requests of the service at work at once, in all regions.
+        regions: Number of regions.
+    """
+    wanted = math.ceil(units / UNITS_PER_HOST / max(1, regions))
+    return max(MIN_SUBSET_HOSTS, wanted)
+
+
 class Lookup:
     """Answers look-ups from the known hosts and distances.
 
@@ -144,13 +163,18 @@
         return blocks.Site(region, models.ZoneId(""))
 
     def _subset(self, region: models.RegionId, caller: Caller) -> _Subset:
-        key = (region, caller.tenant, caller.subset_hosts)
+        count = caller.service_hosts
+        # Tenants share one entry where services are not kept apart.
+        service = None if count is None else caller.service
+        key = (region, caller.tenant, caller.subset_hosts, service, count)
         subset = self.subsets.get(key)
         if subset is not None:
             return subset
         if len(self.subsets) >= MAX_CACHED_SUBSETS:
             self.subsets.clear()
         members = self.regions[region]
+        if count is not None:
+            members = _spread_members(members, caller.service, count)
         # Services open to all are spread over every host.
         if caller.tenant is not None:
             members = _members(members, caller.tenant, caller.subset_hosts)
@@ -178,15 +202,28 @@
 
 
 def _members(
-    hosts: list[models.ListedHost], tenant: models.TenantId, count: int
+    hosts: list[models.ListedHost], name: str, count: int
 ) -> list[models.ListedHost]:
+    """Returns the first hosts in an order that the name determines."""
     ranked = []
     for host in hosts:
-        ranked.append((_hash(host.host, tenant), host.host, host))
+        ranked.append((_hash(host.host, name), host.host, host))
     ranked.sort(reverse=True)
     return [host for _, _, host in ranked[:count]]
 
 
+def _spread_members(
+    hosts: list[models.ListedHost], name: str, count: int
+) -> list[models.ListedHost]:
+    """Returns members of all availability zones in turn."""
+    zones: dict[models.ZoneId, list[models.ListedHost]] = {}
+    for host in _members(hosts, name, len(hosts)):
+        zones.setdefault(host.zone, []).append(host)
+    turns = itertools.zip_longest(*zones.values())
+    members = [host for turn in turns for host in turn if host is not None]
+    return members[:count]
+
+
 def _rank(
     subset: _Subset, caller: Caller, zone: models.ZoneId, places: int
 ) -> list[models.ListedHost]:
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -114,3 +114,30 @@
 )
 def test_subset_grows_with_rate_and_stays_below_burst(rate, burst, expected):
     assert lookups.subset_hosts(rate, burst, 3) == expected
+
+
+def test_few_hosts_in_all_zones_serve_a_service_with_few_units():
+    table = make_lookup(make_hosts(8))
+    named = collections.Counter()
+    for number in range(400):
+        asked = lookups.Caller(
+            f"10.0.{number // 250}.{number % 250}",
+            caller().site,
+            f"tenant-{number % 9}",
+            "bookings",
+            subset_hosts=2,
+            service_hosts=2,
+        )
+        for host in table.lookup(asked).hosts:
+            named[host.region, host.host, host.zone] += 1
+    for region in table.regions:
+        zones = [zone for found, _, zone in named if found == region]
+        assert len(zones) <= 2
+        assert len(set(zones)) == len(zones)
+
+
+@pytest.mark.parametrize(
+    ("units", "expected"), [(1, 2), (48, 2), (49, 3), (4800, 200)]
+)
+def test_hosts_of_a_service_grow_with_its_units(units, expected):
+    assert lookups.service_hosts(units, 3) == expected
