Refuse headers and bodies that can be read in two ways

Cause: with two Content-Length or Authorization headers the last one counted, Content-Length beside chunks was served, and control characters in a header reached the transport. A malformed or half-sent chunk was answered 500 with Ran unknown although nothing ran.

Change: headers that must be single are refused when they come twice, control characters too (400, in the HTTP server's words); bad chunks are half_sent, 400, not run.

--- a/src/banyanshed/server.py
+++ b/src/banyanshed/server.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any, Protocol
 
+from cheroot import server as cheroot_server
 import cherrypy
 import prometheus_client
 
@@ -18,6 +19,43 @@
 SOCKET_TIMEOUT_S = 10
 SHUTDOWN_TIMEOUT_S = 5
 QUEUE_LENGTH = 1024
+SINGLE_HEADERS = frozenset(
+    {
+        b"Authorization",
+        b"Banyanshed-Deadline-Ms",
+        b"Content-Length",
+        b"Host",
+        b"Idempotency-Key",
+        b"Transfer-Encoding",
+    }
+)
+CONTROLS = bytes(range(9)) + bytes(range(10, 32)) + b"\x7f"
+
+
+class StrictHeaders(dict[bytes, bytes]):
+    """Headers of which none that must be single comes twice."""
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        """Sets a header; raises ValueError when it is ambiguous."""
+        if name in SINGLE_HEADERS and name in self:
+            raise ValueError("A header that must be single came twice.")
+        if value.translate(None, CONTROLS) != value:
+            raise ValueError("A header holds a control character.")
+        super().__setitem__(name, value)
+
+
+class StrictHeaderReader(cheroot_server.HeaderReader):
+    """Refuses headers that others may read differently."""
+
+    def __call__(
+        self, rfile: Any, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        """Reads headers into a dict; raises ValueError when malformed."""
+        read = StrictHeaders()
+        super().__call__(rfile, read)
+        found = {} if hdict is None else hdict
+        found.update(read)
+        return found
 
 
 class StateSource(Protocol):
@@ -110,4 +148,5 @@
     cherrypy.engine.autoreload.unsubscribe()
     # Off the loop: pool threads that still wait for it must be answered.
     exits.push_async_callback(asyncio.to_thread, cherrypy.engine.exit)
+    cheroot_server.HTTPRequest.header_reader = StrictHeaderReader()
     cherrypy.engine.start()
--- a/src/banyanshed/web.py
+++ b/src/banyanshed/web.py
@@ -237,14 +237,27 @@
     chunked = "HTTP_TRANSFER_ENCODING" in environ
     if not length and not chunked:
         return b""
+    if length and chunked:
+        raise InvalidRequest(
+            problems.refuse(
+                400, "bad_length", "Content-Length and chunks exclude another."
+            )
+        )
     if length and not re.fullmatch(r"[0-9]{1,18}", length):
         raise InvalidRequest(
             problems.refuse(400, "bad_length", "Content-Length is no number.")
         )
     if length and int(length) > limit_bytes:
         raise _too_large(limit_bytes)
-    expected = int(length) if length and not chunked else None
-    body = bytes(stream.read(limit_bytes + 1 if expected is None else expected))
+    expected = int(length) if length else None
+    try:
+        body = bytes(
+            stream.read(limit_bytes + 1 if expected is None else expected)
+        )
+    except (ValueError, OSError):
+        raise InvalidRequest(
+            problems.refuse(400, "half_sent", "The body is malformed.")
+        ) from None
     if len(body) > limit_bytes:
         raise _too_large(limit_bytes)
     if expected is not None and len(body) < expected:
