Read the shares' changed rows only

Cause: an idle daemon's bytes to the platform grew with the hosts, since each read brought all rows of shares (and at times of sessions) with all grants. Ruled out: a longer interval of the reads (slower reaction). Change: a mirror of these rows answers the reads; two scans since the last commit keep it current. Shares are scanned before sessions, so that no session looks absent that a share names. The holder of shares is unchanged. Under load the rows change all the time and are brought again.

--- a/src/banyanshed/daemon.py
+++ b/src/banyanshed/daemon.py
@@ -27,6 +27,7 @@
 from banyanshed import leases
 from banyanshed import ledger as ledgers
 from banyanshed import logs
+from banyanshed import mirrors
 from banyanshed import models
 from banyanshed import objects
 from banyanshed import operators
@@ -38,6 +39,7 @@
 from banyanshed import serving
 from banyanshed import sessions
 from banyanshed import settings as settings_module
+from banyanshed import shares
 from banyanshed import tables
 from banyanshed import telemetry as telemetry_module
 from banyanshed import timers
@@ -81,6 +83,10 @@
         self.host_list = hostlists.HttpHostList(
             settings.platform.hosts_address, timeout_s
         )
+        # Shares first: a session that they name is older than they are.
+        self.mirror = mirrors.TableMirror(
+            self.table, (shares.SHARE_PREFIX, sessions.SESSION_PREFIX)
+        )
         self.ledger = ledgers.Ledger(self.table, self.objects)
         self.forwarder = forwarding.Forwarder()
         self.stopping = asyncio.Event()
@@ -307,7 +313,7 @@
             return
         try:
             if isinstance(request, leases.ReadRequest):
-                page = await self._in_platform(self.table.read, request.keys)
+                page = await self._in_platform(self.mirror.read, request.keys)
                 holder.on_page(time.monotonic(), page)
                 # Units that came free may place what waits.
                 self.traffic_timer.bring_forward(time.monotonic())
--- a/src/banyanshed/shares.py
+++ b/src/banyanshed/shares.py
@@ -15,9 +15,10 @@
 from banyanshed import models
 from banyanshed import rows
 
-TENANT_PREFIX = "share/tenant/"
-PLACEMENT_PREFIX = "share/placement/"
-LINK_PREFIX = "share/link/"
+SHARE_PREFIX = "share/"
+TENANT_PREFIX = SHARE_PREFIX + "tenant/"
+PLACEMENT_PREFIX = SHARE_PREFIX + "placement/"
+LINK_PREFIX = SHARE_PREFIX + "link/"
 SHIFT_INTERVAL_S = 10.0
 COOLING_S = 20.0
 LINK_BURST_S = 1.0
--- /dev/null
+++ b/tests/test_mirrors.py
@@ -0,0 +1,96 @@
+"""Tests of the copy of rows that scans keep current."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from banyanshed import exceptions
+from banyanshed import mirrors
+from banyanshed import models
+from tests import fakes
+
+KEYS = ("share/a", "share/b", "session/x", "session/y")
+PREFIXES = ("share/", "session/")
+
+steps = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.sets(strategies.sampled_from(KEYS), min_size=1),
+            strategies.one_of(strategies.none(), strategies.integers(0, 9)),
+        ),
+        strategies.sampled_from(["read", "fail first", "fail second"]),
+    ),
+    max_size=30,
+)
+
+
+class Table:
+    """Counts the rows that scans bring, and fails at a chosen scan."""
+
+    def __init__(self):
+        self.table = fakes.MemoryTable()
+        self.brought = 0
+        self.fail_in = 0
+
+    def write(self, keys, number):
+        value = None if number is None else {"number": number}
+        writes = tuple(models.Write(key, value) for key in sorted(keys))
+        self.table.transact(models.Transaction((), writes))
+
+    def scan(self, prefix, since):
+        self.fail_in -= 1
+        if self.fail_in == 0:
+            raise exceptions.StoreUnavailable
+        page = self.table.scan(prefix, since)
+        self.brought += len(page.rows)
+        return page
+
+
+@hypothesis.given(steps)
+def test_reads_are_those_of_the_table(played):
+    table = Table()
+    mirror = mirrors.TableMirror(table, PREFIXES)
+    for step in [*played, "read"]:
+        if isinstance(step, tuple):
+            table.write(*step)
+            continue
+        if step != "read":
+            table.fail_in = 1 if step == "fail first" else 2
+            with pytest.raises(exceptions.StoreUnavailable):
+                mirror.read(KEYS)
+            continue
+        page = mirror.read(KEYS)
+        truth = table.table.read(KEYS)
+        assert (page.rows, page.version) == (truth.rows, truth.version)
+
+
+def test_unchanged_rows_are_not_brought_again():
+    table = Table()
+    mirror = mirrors.TableMirror(table, PREFIXES)
+    table.write(KEYS, 1)
+    mirror.read(KEYS)
+    assert table.brought == len(KEYS)
+    mirror.read(KEYS)
+    assert table.brought == len(KEYS)
+    table.write({"share/b"}, 2)
+    mirror.read(KEYS[:1])
+    assert table.brought == len(KEYS) + 1
+    assert mirror.read(KEYS).rows[1].value == {"number": 2}
+
+
+def test_sessions_are_no_older_than_the_shares_that_name_them():
+    table = Table()
+    mirror = mirrors.TableMirror(table, PREFIXES)
+    scan = table.scan
+
+    def write_between(prefix, since):
+        if prefix == "session/":
+            table.write({"share/a", "session/x"}, 1)
+        return scan(prefix, since)
+
+    table.scan = write_between
+    share, session = mirror.read(("share/a", "session/x")).rows
+    assert share.value is None
+    assert session.value == {"number": 1}
+    table.scan = scan
+    assert mirror.read(("share/a",)).rows[0].value == {"number": 1}
