Tick soon while requests wait for a share

Cause: the timers that wake on demand did not know of requests that wait for a share (they came later), so these were decided up to 0.1 s late; and requests asked of the store by a tick were not brought forward. Change: they count as waiting, and a tick brings the share timer forward. The session player now checks that a tick decides nothing while nothing waits; a new session with a request that waits for a share fails it without the change.

--- a/src/banyanshed/daemon.py
+++ b/src/banyanshed/daemon.py
@@ -392,6 +392,7 @@
         """Serves waiting requests and probes backend servers that are due."""
         now_s = time.monotonic()
         self.entry.traffic.tick(now_s)
+        self._hasten()
         for probe in self.entry.traffic.due_probes(now_s):
             self._spawn(self._probe(probe))
 
--- a/src/banyanshed/traffic.py
+++ b/src/banyanshed/traffic.py
@@ -137,8 +137,8 @@
 
     @property
     def waits(self) -> bool:
-        """Whether a request waits for a free unit or for a retry."""
-        return bool(self.queue.waiters or self.delayed)
+        """Whether a request waits for a unit, a share or a retry."""
+        return bool(self.queue.waiters or self.delayed or self.unshared)
 
     def close(self) -> None:
         """Refuses further requests; those at work go on."""
--- a/tests/test_sessions_golden.py
+++ b/tests/test_sessions_golden.py
@@ -107,7 +107,14 @@
             if step % TICK_STEPS == 0:
                 self.entry.gossip.tick(self.now_s)
             self.entry.refresh(self.now_s)
-            self.entry.traffic.tick(self.now_s)
+            self.tick()
+
+    def tick(self):
+        """Ticks; the daemon may tick seldom while nothing waits."""
+        waits = self.entry.traffic.waits
+        decided = len(self.decisions)
+        self.entry.traffic.tick(self.now_s)
+        assert waits or len(self.decisions) == decided
 
     def move_shares(self, store):
         holder = self.entry.shares
@@ -284,3 +291,20 @@
 @pytest.mark.parametrize("site", SITES, ids=lambda site: site.name)
 def test_session_of_a_site(site, snapshot):
     assert play(site) == snapshot
+
+
+def test_requests_that_wait_for_a_share_are_decided_by_ticks():
+    site = SITES[0]
+    session = Session(site)
+    sheet = (EXAMPLES / f"{site.name}-table.csv").read_text(encoding="utf-8")
+    table = [edit.row for edit in sheets.parse(sheet).edits]
+    key = rows.KeyRow(digest=DIGEST, tenant=site.tenant)
+    session.edit("of the whole table", *table, key)
+    session.entry.freshness.on_store_read(session.now_s, session.version)
+    session.entry.on_store_clock(
+        session.now_s, session.now_s, session.table.now_s
+    )
+    ticket = session.ask(site.read)
+    assert ticket not in session.decisions
+    session.run(8)
+    assert ticket in session.decisions
