--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -8,13 +8,16 @@
 from collections.abc import Sequence
 import contextlib
 import dataclasses
+import json
 import os
 import pathlib
 import re
+import statistics
 import subprocess
 import sys
 import time
 
+from banyanshed import shares
 from standins import fleet as fleets
 from standins import sites
 
@@ -53,6 +56,8 @@
         platform_bytes_per_s: Sent and received bytes to and from the platform.
         reads_per_s: Reads and scans of the table a second by one host.
         writes_per_s: Transactions a second by one host.
+        share_row_bytes: Mean size of a share's row.
+        host_list_bytes: Size of the platform's list of hosts.
     """
 
     hosts: int
@@ -62,6 +67,8 @@
     platform_bytes_per_s: float
     reads_per_s: float
     writes_per_s: float
+    share_row_bytes: float
+    host_list_bytes: int
 
 
 def read_cpu_s(pid: int) -> float:
@@ -171,9 +178,19 @@
         flow.platform_bytes / host_s,
         reads / host_s,
         grown.get("transactions", 0) / host_s,
+        mean_row_bytes(fleet, shares.SHARE_PREFIX),
+        len(fleet.platform.call("GET", "/hosts").data),
     )
 
 
+def mean_row_bytes(fleet: fleets.Fleet, prefix: str) -> float:
+    """Returns the mean size of the rows below a prefix, as JSON."""
+    question = {"prefix": prefix, "since": 0}
+    answer = fleet.platform.call("POST", "/table/scan", question)
+    found = answer.json()["rows"]
+    return statistics.fmean(len(json.dumps(row)) for row in found)
+
+
 def report(cost: Cost) -> str:
     """Returns one line, each figure beside its target."""
     flow = cost.peer_bytes_per_s + cost.platform_bytes_per_s
@@ -186,7 +203,9 @@
         f" platform {cost.platform_bytes_per_s:7.0f} B/s"
         f" (both {flow / TRAFFIC_TARGET_BYTES_PER_S:5.2f}),"
         f" reads {cost.reads_per_s:5.2f}/s,"
-        f" writes {cost.writes_per_s:5.2f}/s"
+        f" writes {cost.writes_per_s:5.2f}/s,"
+        f" a share's row {cost.share_row_bytes:.0f} bytes,"
+        f" list of hosts {cost.host_list_bytes} bytes"
     )
 
 
