Keep silent backend servers from delaying the signs of others

Cause: four threads asked all backend servers for their health every 2 s, and one that takes connections without answering holds a thread for 0.5 s. Probes piled up without bound, and each delayed all later ones; a host's stop also waited for the whole queue.

Ruled out: asking silent ones less often, which would delay their own sign once they answer again.

Change: one question at most is out for each backend server; silent ones are asked by 8 threads of their own, the others by 32; the interval is 1 s, so that one lost probe still fits into 3 s (1.1 + 0.5 + 1.1); queued probes are dropped at the end of the process; a probe's time is taken when it is sent.

Conclusion: the sign by the health endpoint holds while up to all others are silent; a lost probe's bound is reckoned, not measured.

--- a/src/banyanshed/daemon.py
+++ b/src/banyanshed/daemon.py
@@ -43,6 +43,7 @@
 from banyanshed import tables
 from banyanshed import telemetry as telemetry_module
 from banyanshed import timers
+from banyanshed import traffic
 from banyanshed import web
 
 SETTINGS = flags.DEFINE_string("settings", None, "YAML settings file.")
@@ -54,7 +55,8 @@
 HOST_LIST_INTERVAL_S = 2.0
 FLUSH_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 0.5
-PROBE_THREADS = 4
+PROBE_THREADS = 32
+SILENT_PROBE_THREADS = 8
 IN_FLIGHT_STEP_S = 0.02
 RETURN_TIMEOUT_S = 5.0
 POLL_JITTER = 0.3
@@ -115,9 +117,9 @@
                 self.settings.platform_threads
             )
         )
-        self.probe_pool = exits.enter_context(
-            concurrent.futures.ThreadPoolExecutor(PROBE_THREADS)
-        )
+        self.probe_pool = _probe_pool(exits, PROBE_THREADS)
+        # Silent backend servers hold a thread until the timeout.
+        self.silent_pool = _probe_pool(exits, SILENT_PROBE_THREADS)
         for adapter in (self.table, self.objects, self.host_list):
             exits.callback(adapter.close)
         exits.enter_context(self.forwarder)
@@ -396,12 +398,10 @@
         for probe in self.entry.traffic.due_probes(now_s):
             self._spawn(self._probe(probe))
 
-    async def _probe(self, probe: Any) -> None:
+    async def _probe(self, probe: traffic.Probe) -> None:
         loop = asyncio.get_running_loop()
-        sent_s = time.monotonic()
-        result = await loop.run_in_executor(
-            self.probe_pool, forwarding.probe, probe.address, PROBE_TIMEOUT_S
-        )
+        pool = self.silent_pool if probe.silent else self.probe_pool
+        sent_s, result = await loop.run_in_executor(pool, _ask_health, probe)
         self.entry.traffic.on_probe(time.monotonic(), sent_s, probe, result)
 
     # Called from pool threads.
@@ -479,6 +479,24 @@
         self.peering.on_version()
 
 
+def _ask_health(probe: traffic.Probe) -> tuple[float, forwarding.ProbeResult]:
+    """Returns when a backend server was asked and what was learnt."""
+    sent_s = time.monotonic()
+    try:
+        return sent_s, forwarding.probe(probe.address, PROBE_TIMEOUT_S)
+    except Exception:  # A probe that is not accounted for would be the last.
+        return sent_s, forwarding.ProbeResult(None, code="probe_failed")
+
+
+def _probe_pool(
+    exits: contextlib.AsyncExitStack, threads: int
+) -> concurrent.futures.Executor:
+    """Returns a pool that does not wait for queued probes at its end."""
+    pool = concurrent.futures.ThreadPoolExecutor(threads)
+    exits.callback(pool.shutdown, cancel_futures=True)
+    return pool
+
+
 async def _cancel(task: asyncio.Task[Any]) -> None:
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/src/banyanshed/traffic.py
+++ b/src/banyanshed/traffic.py
@@ -39,7 +39,7 @@
 MAX_UNSHARED = 64
 NO_DIGEST = models.KeyDigest("")
 LEAVING_RETRY_S = 0.5
-PROBE_INTERVAL_S = 2.0
+PROBE_INTERVAL_S = 1.0
 PROBE_JITTER = 0.1
 
 Placement = routing.Placement[leases.Unit, leases.Reservation]
@@ -87,11 +87,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class Probe:
-    """A question for a backend server's health and load."""
+    """A question for a backend server's health and load.
+
+    Attributes:
+        service: Service of the backend server.
+        backend: Its id.
+        address: "IP:port".
+        silent: The last question to it got no answer in time.
+    """
 
     service: models.ServiceId
     backend: models.BackendId
     address: str
+    silent: bool
 
 
 class Traffic:
@@ -128,6 +136,8 @@
         self.words = itertools.count(1)
         self.leaving_addresses: frozenset[str] = frozenset()
         self.probe_due_s: dict[tuple[str, str], float] = {}
+        self.probing: set[tuple[str, str]] = set()
+        self.silent: set[tuple[str, str]] = set()
         self.retried = 0
 
     @property
@@ -537,14 +547,17 @@
         for backend in list(self.backends.probed()):
             row = backend.row
             key = (row.service, row.backend)
-            if now_s < self.probe_due_s.get(key, 0.0):
+            # Silent ones must not pile up questions.
+            if key in self.probing or now_s < self.probe_due_s.get(key, 0.0):
                 continue
+            self.probing.add(key)
             jitter = self.rng.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
             self.probe_due_s[key] = now_s + PROBE_INTERVAL_S * jitter
             yield Probe(
                 models.ServiceId(row.service),
                 models.BackendId(row.backend),
                 row.address,
+                key in self.silent,
             )
 
     def on_probe(
@@ -554,7 +567,15 @@
         probe: Probe,
         result: forwarding.ProbeResult,
     ) -> None:
-        """Takes what a probe sent at `sent_s` found."""
+        """Takes what a probe sent at `sent_s` found.
+
+        It is due for each probe that `due_probes` yielded.
+        """
+        key = (probe.service, probe.backend)
+        self.probing.discard(key)
+        self.silent.discard(key)
+        if result.state is None and not result.refused:
+            self.silent.add(key)
         self.backends.handle(
             backends.HealthReported(
                 probe.service,
--- a/tests/test_leaving_proofs.py
+++ b/tests/test_leaving_proofs.py
@@ -1,6 +1,10 @@
-"""Backend servers that leave, each by a sign that the others contradict."""
+"""Backend servers that leave, each by a sign that the others contradict.
+
+Meanwhile the servers of another service take connections and never answer.
+"""
 
 import contextlib
+import socket
 import threading
 import time
 
@@ -20,6 +24,7 @@
 STAYING = "bookings-sask-6"
 THREADS_PER_HOST = 6
 FALSE_LOAD = 1000
+SILENT = 64
 
 
 class Run:
@@ -38,16 +43,17 @@
             for name in self.names
         ]
         limits = sites.Limits(rate=4000, burst=4000, limit=6 * SLOTS)
+        silent = [listen_silently(exits) for _ in range(SILENT)]
         placed = sites.placement_rows(
-            {("bookings", "sask"): self.addresses}, limits, SLOTS
+            {
+                ("bookings", "sask"): self.addresses,
+                ("board", "sask"): silent,
+            },
+            limits,
+            SLOTS,
         )
         self.fleet.add_hosts(sites.HOSTS, lookup_ttl_s=1, stop_timeout_s=20)
-        table = [
-            row
-            for row in sites.all_rows({}, limits)
-            if getattr(row, "service", "bookings") == "bookings"
-        ]
-        sheet = sites.as_sheet([*table, *placed])
+        sheet = sites.as_sheet([*sites.all_rows({}, limits), *placed])
         self.fleet.operate("POST", "sheet", sheet.encode())
         issued = self.fleet.operate("POST", "key", {"tenant": sites.TENANT})
         self.fleet.await_version(issued["version"])
@@ -127,6 +133,12 @@
         self.signed_s[name] = time.monotonic()
 
 
+def listen_silently(exits):
+    """Returns "IP:port" where connections are taken and nothing answers."""
+    listener = exits.enter_context(socket.create_server(("127.0.0.1", 0)))
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
 @pytest.fixture(scope="module")
 def run():
     with contextlib.ExitStack() as exits:
