Name witnesses in another availability zone of the same region

Cause: any live host could become the witness, so a region that was cut off lost the shares of every host whose witness was elsewhere within 5 s. Ruled out: hosts of other regions, which free the shares of a lost region early but stop a region that is cut off (docs/LIMITS.md gives the cost). Change: another zone of the region, else the region, else any host; a test of the limits cuts two of four hosts off for an hour of core time and heals them.

--- a/src/banyanshed/entry.py
+++ b/src/banyanshed/entry.py
@@ -4,6 +4,7 @@
 monotonic clock, and carries out what it returns.
 """
 
+from collections.abc import Sequence
 import dataclasses
 import random
 from typing import Any
@@ -158,12 +159,26 @@
         """Takes over what membership and the clock have changed."""
         live = self.members.live_hosts()
         self.lookup.set_hosts(live)
-        self.shares.set_peers([member.host for member in live])
+        self.shares.set_peers(self._witnesses(live))
         self.traffic.backends.set_hosts(len(live))
         if self._drained_now(now_s) != self.drained:
             self._set_limits(now_s)
             self.traffic.on_config(now_s, self.drained)
 
+    def _witnesses(
+        self, live: Sequence[models.ListedHost]
+    ) -> list[models.HostId]:
+        """Returns the hosts that may be witness of this host's session.
+
+        In another availability zone of the region they let a region that is
+        cut off work on, and free the shares of a zone that is lost.
+        """
+        own = self.members.own.profile
+        others = [host for host in live if host.host != self.host]
+        near = [host for host in others if host.region == own.region]
+        apart = [host for host in near if host.zone != own.zone]
+        return [host.host for host in apart or near or others]
+
     def known_hosts(self) -> tuple[models.ListedHost, ...]:
         """Returns all known entry hosts with their states."""
         return tuple(
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -85,6 +85,7 @@
         self.table = memory.MemoryTable()
         self.now_s = 0.0
         self.down = False
+        self.island = frozenset()  # Cut off from the store and the others.
         self.incarnations = 0
         self.late = []
         self.gone = []
@@ -209,7 +210,7 @@
         request = holder.next_request(now_s)
         if request is None:
             return
-        if self.down:
+        if self.down or holder.host in self.island:
             holder.on_unavailable(now_s)
             return
         if isinstance(request, leases.ReadRequest):
@@ -236,6 +237,8 @@
     def beat(self, node):
         for name, heartbeat in node.holder.heartbeats(self.clock(node)):
             peer = self.nodes.get(name)
+            if (name in self.island) != (node.holder.host in self.island):
+                continue
             if peer is None or node.cut or peer.cut or not self.awake(peer):
                 continue
             answer = peer.holder.on_heartbeat(self.clock(peer), heartbeat)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from banyanshed import sessions
 from tests import fleet
 
 HOSTS = st.sampled_from(["h0", "h1", "h2", "h3"])
@@ -132,3 +133,27 @@
     hosts.advance(2)
     assert hosts.ask("h0", 1) == 1
     assert frozen.holder.valid(hosts.clock(frozen))
+
+
+@pytest.mark.invariant("tenant-rate")
+def test_region_cut_off_for_an_hour_goes_on_with_its_shares():
+    whole = fleet.Fleet(hosts=4, lease_s=sessions.LEASE_S)
+    here, there = whole.names[:2], whole.names[2:]
+    for side in (here, there):
+        for name in side:
+            whole.nodes[name].holder.set_peers(side)
+    whole.flooded = set(whole.names)
+    whole.advance(30)
+    whole.flooded = set()
+    whole.island = frozenset(here)
+    served = dict.fromkeys(whole.names, 0)
+    for _ in range(60):
+        whole.advance(60)
+        for name in whole.names:
+            served[name] += whole.ask(name, 20)
+    assert all(count >= 60 for count in served.values()), served
+    whole.island = frozenset()
+    whole.flooded = set(whole.names)
+    whole.advance(30)
+    keys = [key for key in whole.table.rows if key.startswith("session/")]
+    assert len(keys) == 4
