Hand a session to a peer when a planned stop can't return it

Cause: a planned stop while the table service is down couldn't return its shares; they stayed locked, and the hosts that stay refused rate_limited or no_capacity until the service was back.

Ruled out: giving tokens to the peer's own session (rows would not show who holds them), agreement among hosts on new grants, shorter leases, a process that stays until the service is back. docs/LIMITS.md says why.

Change: after 1.5 s without success the leaving host freezes its holder and hands the whole session to one live peer; after a lost answer only the same process is asked again. Durations count from the time that the peer told before. The peer spends the session after its own share, sends its heartbeats and returns it at the first read of the service. A holder that returns its shares goes on with its heartbeats, so that its witness doesn't end the session before it is given.

--- a/src/banyanshed/daemon.py
+++ b/src/banyanshed/daemon.py
@@ -23,6 +23,7 @@
 from banyanshed import entry as entries
 from banyanshed import exceptions
 from banyanshed import forwarding
+from banyanshed import handover
 from banyanshed import hostlists
 from banyanshed import leases
 from banyanshed import ledger as ledgers
@@ -59,6 +60,8 @@
 SILENT_PROBE_THREADS = 8
 IN_FLIGHT_STEP_S = 0.02
 RETURN_TIMEOUT_S = 5.0
+GIVE_AFTER_S = 1.5
+GIVE_STEP_S = 0.2
 POLL_JITTER = 0.3
 EXIT_BAD_SETTINGS = 2
 
@@ -144,6 +147,7 @@
             self,
             self.entry.shares,
             time.monotonic,
+            self.entry.adoptions,
         )
         peer_server = await exits.enter_async_context(
             peers.PeerServer(self.entry.host, secret, self.peering)
@@ -196,7 +200,7 @@
 
     def _share_delay_s(self) -> float:
         """Returns the time until the share holder has a request."""
-        wait_s = self.entry.shares.next_s - time.monotonic()
+        wait_s = self.entry.shares.due_s() - time.monotonic()
         return max(wait_s, self._jittered(SHARE_STEP_S))
 
     def _traffic_delay_s(self) -> float:
@@ -207,7 +211,7 @@
 
     def _hasten(self) -> None:
         """Brings the timers forward that the core has got work for."""
-        self.share_timer.bring_forward(self.entry.shares.next_s)
+        self.share_timer.bring_forward(self.entry.shares.due_s())
         if self.entry.traffic.waits:
             at_s = time.monotonic() + TRAFFIC_STEP_S
             self.traffic_timer.bring_forward(at_s)
@@ -259,15 +263,34 @@
         await self._return_shares()
 
     async def _return_shares(self) -> None:
-        holder = self.entry.shares
-        holder.release_all(time.monotonic())
+        await asyncio.gather(
+            *(self._return(holder) for holder in self.entry.shares.all())
+        )
+
+    async def _return(self, holder: leases.ShareHolder) -> None:
+        """Returns one session, or gives it to a peer."""
+        started_s = time.monotonic()
+        holder.release_all(started_s)
         self._hasten()
-        end_s = time.monotonic() + RETURN_TIMEOUT_S
-        while time.monotonic() < end_s:
+        giving = handover.Giving(holder)
+        while time.monotonic() < started_s + RETURN_TIMEOUT_S:
             if holder.phase is leases.Phase.RETURNED:
                 return
-            await asyncio.sleep(SHARE_STEP_S)
-        logs.log("shares_not_returned", host=self.settings.host)
+            if time.monotonic() < started_s + GIVE_AFTER_S:
+                await asyncio.sleep(SHARE_STEP_S)
+                continue
+            await self.peering.give(giving)
+            if giving.state is handover.GivingState.TAKEN:
+                break
+            await asyncio.sleep(GIVE_STEP_S)
+        receiver = None if giving.receiver is None else giving.receiver[0]
+        logs.log(
+            "shares_not_returned",
+            host=self.settings.host,
+            session=holder.session,
+            given=giving.state.value,
+            receiver=receiver,
+        )
 
     # Platform.
 
@@ -308,8 +331,13 @@
         self.entry.on_hosts(time.monotonic(), page)
 
     async def move_shares(self) -> None:
-        """Carries one request of the share holder to the table service."""
-        holder = self.entry.shares
+        """Carries one request of each holder to the table service."""
+        await asyncio.gather(
+            *(self._move(holder) for holder in self.entry.shares.all())
+        )
+        self.entry.adoptions.sweep()
+
+    async def _move(self, holder: leases.ShareHolder) -> None:
         request = holder.next_request(time.monotonic())
         if request is None:
             return
@@ -366,18 +394,30 @@
 
     async def send_heartbeats(self) -> None:
         """Sends due heartbeats to this host's witnesses."""
-        now_s = time.monotonic()
-        for host, heartbeat in self.entry.shares.heartbeats(now_s):
+        for holder in self.entry.shares.all():
+            self._beat_all(holder, time.monotonic())
+
+    def _beat_all(self, holder: leases.ShareHolder, now_s: float) -> None:
+        for host, heartbeat in holder.heartbeats(now_s):
+            if host == self.host:
+                answer = self.entry.shares.on_heartbeat(now_s, heartbeat)
+                holder.on_acknowledgement(now_s, answer)
+                continue
             member = self.entry.members.members.get(host)
             if member is None:
                 continue
             address = member.profile.peer_address
-            self._spawn(self._beat(address, heartbeat))
+            self._spawn(self._beat(holder, address, heartbeat))
 
-    async def _beat(self, address: str, heartbeat: sessions.Heartbeat) -> None:
+    async def _beat(
+        self,
+        holder: leases.ShareHolder,
+        address: str,
+        heartbeat: sessions.Heartbeat,
+    ) -> None:
         with contextlib.suppress(exceptions.PeerError):
             answer = await self.client.heartbeat(address, heartbeat)
-            self.entry.shares.on_acknowledgement(time.monotonic(), answer)
+            holder.on_acknowledgement(time.monotonic(), answer)
 
     def _spawn(self, action: Any) -> None:
         task = asyncio.ensure_future(action)
--- a/src/banyanshed/entry.py
+++ b/src/banyanshed/entry.py
@@ -13,6 +13,7 @@
 from banyanshed import configuration
 from banyanshed import freshness
 from banyanshed import gossip
+from banyanshed import handover
 from banyanshed import holdings
 from banyanshed import leases
 from banyanshed import lookups
@@ -73,6 +74,7 @@
             rng,
             settings.lease_s,
         )
+        self.adoptions = handover.Adoptions(self.shares)
         self.lookup = lookups.Lookup(
             settings.lookup_ttl_s, settings.lookup_hosts
         )
@@ -308,4 +310,5 @@
         "valid": holder.valid(now_s),
         "witnesses": sorted(witness.host for witness in holder.named),
         "held": held,
+        "adopted": [_shares(adopted, now_s) for adopted in holder.adopted],
     }
--- a/src/banyanshed/leases.py
+++ b/src/banyanshed/leases.py
@@ -78,6 +78,7 @@
     HOLDING = "holding"
     RETURNING = "returning"
     RETURNED = "returned"
+    GIVEN = "given"
 
 
 @dataclasses.dataclass(slots=True)
@@ -141,6 +142,7 @@
         self.writes = 0
         self.next_sessions_s = 0.0
         self.epoch = 0
+        self.adopted: list[ShareHolder] = []
         self._open_session()
 
     def _open_session(self) -> None:
@@ -213,6 +215,17 @@
         """Sets the live hosts that may be this host's witness."""
         self.peers = tuple(host for host in peers if host != self.host)
 
+    def all(self) -> "list[ShareHolder]":
+        """Returns this holder and those that this host has adopted."""
+        return [self, *self.adopted]
+
+    def due_s(self) -> float:
+        """Returns when `next_request` of any of them may yield something."""
+        due_s = self.next_s
+        for holder in self.adopted:
+            due_s = min(due_s, holder.next_s)
+        return due_s
+
     # Admission.
 
     def admit(
@@ -228,6 +241,9 @@
         if held.refused == 0:
             self._hurry(now_s)
         held.refused += cost
+        for holder in self.adopted:
+            if holder.admit(now_s, tenant, cost).admitted:
+                return ADMITTED
         wait_s = held.bucket.wait_s(cost)
         if wait_s is None or now_s >= self.valid_until_s:
             wait_s = DEFAULT_RETRY_AFTER_S
@@ -253,6 +269,10 @@
         if held.refused == 0:
             self._hurry(now_s)
         held.refused += 1
+        for holder in self.adopted:
+            unit = holder.acquire(now_s, service, region)
+            if unit is not None:
+                return unit
         return None
 
     def free_units(
@@ -262,17 +282,22 @@
         region: models.RegionId,
     ) -> int:
         """Returns the units of a placement that are free on this host."""
+        adopted = sum(
+            holder.free_units(now_s, service, region) for holder in self.adopted
+        )
         held = self.placements.get((service, region))
         if held is None or now_s >= self.valid_until_s:
-            return 0
-        return max(0, held.target - held.in_use)
+            return adopted
+        return max(0, held.target - held.in_use) + adopted
 
     def release(self, now_s: float, unit: Unit) -> None:
         """Takes a unit back when its request has ended."""
+        if unit.session != self.session:
+            for holder in self.adopted:
+                holder.release(now_s, unit)
+            return
         held = self.held.get(unit.key)
-        if unit.session != self.session or not isinstance(
-            held, holdings.HeldUnits
-        ):
+        if not isinstance(held, holdings.HeldUnits):
             return
         held.in_use = max(0, held.in_use - 1)
         held.lasting_s += 0.05 * (now_s - unit.at_s - held.lasting_s)
@@ -296,15 +321,21 @@
         if held.refused == 0:
             self._hurry(now_s)
         held.refused += size
+        for holder in self.adopted:
+            reservation = holder.reserve_bytes(now_s, source, target, size)
+            if reservation is not None:
+                return reservation
         return None
 
     def settle_bytes(
         self, now_s: float, reservation: Reservation, used: float
     ) -> None:
         """Ends a reservation; bytes that were not sent are put back."""
-        held = self.held.get(reservation.key)
         if reservation.session != self.session:
+            for holder in self.adopted:
+                holder.settle_bytes(now_s, reservation, used)
             return
+        held = self.held.get(reservation.key)
         if not isinstance(held, holdings.HeldRate):
             return
         held.meter.count -= max(0.0, reservation.size - used)
@@ -319,9 +350,23 @@
             now_s: Monotonic time.
             held: What the request was given; it must be of this session.
         """
-        if held is not None and held.session != self.session:
-            return False
-        return now_s < self.valid_until_s
+        own = held is None or held.session == self.session
+        if own and now_s < self.valid_until_s:
+            return True
+        return any(holder.valid(now_s, held) for holder in self.adopted)
+
+    def usable_until_s(self, now_s: float) -> float:
+        """Returns until when what was just given surely may be used.
+
+        That is the earliest end of the sessions that may be spent now.
+        """
+        until_s = self.valid_until_s
+        for holder in self.adopted:
+            if now_s >= holder.valid_until_s:
+                continue
+            if now_s >= until_s or holder.valid_until_s < until_s:
+                until_s = holder.valid_until_s
+        return until_s
 
     def retry_after_s(self) -> float:
         """Returns when to come back after `acquire` returned None."""
@@ -355,7 +400,7 @@
         """
         if self.pending or now_s < self.next_s:
             return None
-        if self.phase is Phase.RETURNED:
+        if self.phase in (Phase.RETURNED, Phase.GIVEN):
             return None
         if self.fresh:
             self.fresh = False
@@ -780,7 +825,10 @@
         self, now_s: float
     ) -> tuple[tuple[models.HostId, sessions.Heartbeat], ...]:
         """Returns the heartbeats to send now, with their receivers."""
-        if now_s < self.next_heartbeat_s or self.phase is not Phase.HOLDING:
+        if now_s < self.next_heartbeat_s or self.phase in (
+            Phase.RETURNED,
+            Phase.GIVEN,
+        ):
             return ()
         self.next_heartbeat_s = now_s + sessions.HEARTBEAT_S
         terms = {
--- a/src/banyanshed/peer.capnp
+++ b/src/banyanshed/peer.capnp
@@ -21,6 +21,14 @@
       -> (version :UInt64, size :UInt64, chunk :Data);
 
   heartbeat @2 (heartbeat :Heartbeat) -> (answer :Acknowledgement);
+
+  # Opens a hand-over: tells the receiver's process and monotonic time.
+  openHandover @3 () -> (incarnation :Text, openedS :Float64);
+
+  # Hands a session over; repeats what the opening told. False says that the
+  # receiver has not taken this session.
+  handOver @4 (incarnation :Text, openedS :Float64, content :Data)
+      -> (taken :Bool);
 }
 
 # From the holder of a session to its witness.
--- a/src/banyanshed/peering.py
+++ b/src/banyanshed/peering.py
@@ -13,6 +13,8 @@
 
 from banyanshed import exceptions
 from banyanshed import gossip
+from banyanshed import handover
+from banyanshed import models
 from banyanshed import peers
 from banyanshed import sessions
 
@@ -62,6 +64,7 @@
         replica: Replica,
         witness: Witness,
         clock: Callable[[], float],
+        adoptions: handover.Adoptions | None = None,
     ):
         """Takes the parts that it connects.
 
@@ -71,12 +74,14 @@
             replica: The configuration in force here.
             witness: Answers the heartbeats of holders of sessions.
             clock: Returns monotonic seconds, as given to the core.
+            adoptions: Takes over sessions of peers; None takes none.
         """
         self.core = core
         self.client = client
         self.replica = replica
         self.witness = witness
         self.clock = clock
+        self.adoptions = adoptions
         self.failures: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._stack = contextlib.AsyncExitStack()
@@ -112,6 +117,49 @@
         """Returns a witness's answer to the holder of a session."""
         return self.witness.on_heartbeat(self.clock(), heartbeat)
 
+    def on_open_handover(self) -> handover.Opening:
+        """Returns what the giver of a session must repeat."""
+        if self.adoptions is None:
+            raise exceptions.PeerError("takes no sessions")
+        return self.adoptions.open(self.clock())
+
+    def on_hand_over(self, opening: handover.Opening, content: bytes) -> bool:
+        """Returns whether a peer's session was taken over."""
+        if self.adoptions is None:
+            return False
+        taken = self.adoptions.take(self.clock(), opening, content)
+        eliot.log_message(message_type="peer:session_offered", taken=taken)
+        return taken
+
+    async def give(self, giving: handover.Giving) -> None:
+        """Offers a session to live peers in turn, until one may have it."""
+        members = self.core.members
+        peers = [
+            peer
+            for peer in members.live_hosts()
+            if peer.host != members.own.profile.host
+        ]
+        for peer in giving.choices(peers, members.own.profile.region):
+            if not giving.possible(self.clock()):
+                return
+            try:
+                await self._give_to(giving, peer)
+            except exceptions.PeerError as error:
+                self._count(error.code)
+            if giving.state is not handover.GivingState.KEPT:
+                return
+
+    async def _give_to(
+        self, giving: handover.Giving, peer: models.ListedHost
+    ) -> None:
+        opening = await self.client.open_handover(peer.peer_address)
+        content = giving.start(self.clock(), peer.host, opening)
+        if content is None:
+            return
+        giving.on_answer(
+            await self.client.hand_over(peer.peer_address, opening, content)
+        )
+
     def on_version(self) -> None:
         """Tells peers at once that the version in force here has changed."""
         questions = self.core.on_version(self.clock(), self.replica.version())
--- a/src/banyanshed/peers.py
+++ b/src/banyanshed/peers.py
@@ -22,6 +22,7 @@
 from banyanshed import codec
 from banyanshed import exceptions
 from banyanshed import gossip
+from banyanshed import handover
 from banyanshed import models
 from banyanshed import sessions
 
@@ -95,6 +96,12 @@
     ) -> sessions.Acknowledgement:
         """Returns a witness's answer to the holder of a session."""
 
+    def on_open_handover(self) -> handover.Opening:
+        """Returns what the giver of a session must repeat."""
+
+    def on_hand_over(self, opening: handover.Opening, content: bytes) -> bool:
+        """Returns whether a peer's session was taken over."""
+
 
 @dataclasses.dataclass
 class PeerLimits:
@@ -177,6 +184,29 @@
             answer = server.handler.on_heartbeat(question)
             codec.write_answer(_context.results.init("answer"), answer)
 
+    async def openHandover(self, _context: Any, **_: Any) -> None:  # noqa: N802
+        """Tells this process and its time."""
+        with self.connection.calling() as server:
+            opening = server.handler.on_open_handover()
+            _context.results.incarnation = opening.incarnation
+            _context.results.openedS = opening.opened_s
+
+    async def handOver(  # noqa: N802
+        self,
+        incarnation: str,
+        openedS: float,  # noqa: N803
+        content: bytes,
+        _context: Any,
+        **_: Any,
+    ) -> None:
+        """Takes a session over."""
+        with self.connection.calling() as server:
+            opening = handover.Opening(
+                sessions.Incarnation(incarnation), openedS
+            )
+            taken = server.handler.on_hand_over(opening, bytes(content))
+            _context.results.taken = taken
+
 
 class GateService(codec.SCHEMA.Gate.Server):
     """Checks the proof of one connection's client, once."""
@@ -519,6 +549,32 @@
 
         return await self._call(address, send, read)
 
+    async def open_handover(self, address: str) -> handover.Opening:
+        """Returns the peer's process and time; raises PeerError."""
+
+        def send(peer: Any) -> Any:
+            return peer.openHandover()
+
+        def read(answer: Any) -> handover.Opening:
+            return handover.Opening(
+                sessions.Incarnation(answer.incarnation), answer.openedS
+            )
+
+        return await self._call(address, send, read)
+
+    async def hand_over(
+        self, address: str, opening: handover.Opening, content: bytes
+    ) -> bool:
+        """Returns whether the peer took the session; raises PeerError."""
+
+        def send(peer: Any) -> Any:
+            return peer.handOver(opening.incarnation, opening.opened_s, content)
+
+        def read(answer: Any) -> bool:
+            return bool(answer.taken)
+
+        return await self._call(address, send, read)
+
     async def fetch_delta(self, address: str, since: int) -> Delta:
         """Returns the rows changed after a version; raises PeerError."""
         version = 0
--- a/src/banyanshed/traffic.py
+++ b/src/banyanshed/traffic.py
@@ -407,7 +407,7 @@
             events.Placed(
                 serving_now.admitted,
                 placement.attempt.target,
-                self.shares.valid_until_s,
+                self.shares.usable_until_s(now_s),
             ),
         )
         return True
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,6 +14,7 @@
 from banyanshed import exceptions
 from banyanshed import freshness
 from banyanshed import gossip
+from banyanshed import handover
 from banyanshed import membership
 from banyanshed import models
 from banyanshed import peers
@@ -40,6 +41,7 @@
     probes=("h3",),
 )
 LIMITS = peers.PeerLimits(handshake_timeout_s=0.2, call_timeout_s=0.3)
+LARGEST_SESSION = bytes(handover.MAX_CONTENT_BYTES)
 WHOLE_DELTA = bytes(range(256)) * 1000
 
 
@@ -69,6 +71,12 @@
             accepted=heartbeat.term == 2,
         )
 
+    def on_open_handover(self):
+        return handover.Opening("f00d", 12.5)
+
+    def on_hand_over(self, opening, content):
+        return opening == self.on_open_handover() and content == LARGEST_SESSION
+
 
 @dataclasses.dataclass
 class Bench:
@@ -117,6 +125,10 @@
                 beat = sessions.Heartbeat("h1/cafe.1", term, 9)
                 answer = await client.heartbeat(bench.address, beat)
                 assert answer == bench.handler.on_heartbeat(beat)
+            opening = await client.open_handover(bench.address)
+            for content in (LARGEST_SESSION, b""):
+                taken = await client.hand_over(bench.address, opening, content)
+                assert taken == bool(content)
             for _ in range(3):
                 delta = await client.fetch_delta(bench.address, 4)
                 assert delta == peers.Delta(5, WHOLE_DELTA)
