--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -136,10 +136,19 @@
     with Load(installation) as load:
         load.await_answers(50)
         fleet.platform.put("/fault", {"mode": "down"})
-        for host in ("sask-a-1", "alberta-a-1"):
+        stopped = ("sask-a-1", "alberta-a-1")
+        for host in stopped:
             fleet.hosts[host].process.terminate()
             assert fleet.hosts[host].process.wait(60) == 0
         load.await_answers(200)
+        fleet.platform.put("/fault", {"mode": "none"})
+        for _ in range(AWAIT_STEPS):
+            held = [shares_of(fleet, name) for name in stopped]
+            if not any(held):
+                break
+            time.sleep(0.02)
+        assert held == [[], []]
+        load.await_answers(50)
 
 
 def shares_of(fleet, host):
