Freeze a host with all its tokens in the proof of a tenant's rate

Cause: under constant pressure the tokens that a frozen host does not spend hide what it might spend after it resumes.

Change: the tenant rests while a host is frozen, so that the others are given its part, and presses on all hosts as it resumes. The kill comes before.

--- a/tests/test_limit_proofs.py
+++ b/tests/test_limit_proofs.py
@@ -121,10 +121,10 @@
             yield from backend.get("/_executed")["executions"]
 
 
-def freeze(child, seconds):
+def freeze(child, thawed):
     child.process.send_signal(signal.SIGSTOP)
     try:
-        time.sleep(seconds)
+        thawed.wait(HANG_S)
     finally:
         child.process.send_signal(signal.SIGCONT)
 
@@ -156,10 +156,21 @@
         lost = {"mode": "lose_answers", "only_prefix": "share/", "count": 4}
         fleet.platform.put("/fault", lost)
         load.await_served()
-        freeze(fleet.hosts["alberta-a-1"], FREEZE_S)
-        load.await_served()
         kill_and_replace(fleet, "sask-b-1")
         load.await_served()
+    # It is stopped and resumed with all of its tokens, after which the others
+    # have been given them too.
+    time.sleep(BURST / RATE)
+    thawed = threading.Event()
+    freezing = threading.Thread(
+        target=freeze, args=(fleet.hosts["alberta-a-1"], thawed)
+    )
+    freezing.start()
+    time.sleep(FREEZE_S)
+    with Pressure(fleet, issued["key"], "bookings", 0.04, DEADLINE_S) as load:
+        thawed.set()
+        freezing.join()
+        load.await_served()
     times_s = [
         run["started_s"]
         for run in executions(fleet, "bookings")
@@ -190,14 +201,17 @@
     with Pressure(
         fleet, site.key, "board", 0.02, SERVICE_DEADLINE_S
     ) as pressure:
-        pressure.await_served()
+        pressure.await_served(1)
+        thawed = threading.Event()
         freezing = threading.Thread(
-            target=freeze, args=(fleet.hosts["alberta-a-1"], FREEZE_S)
+            target=freeze, args=(fleet.hosts["alberta-a-1"], thawed)
         )
         freezing.start()
         kill_and_replace(fleet, "sask-b-1")
+        time.sleep(FREEZE_S)
+        thawed.set()
         freezing.join()
-        pressure.await_served()
+        pressure.await_served(1)
     set_faults(fleet, "board")
     for region in sites.REGIONS:
         runs = list(executions(fleet, f"board-{region}"))
