Check the key again before a request is sent anew

Cause: a request whose lease had lapsed, or whose attempt had failed, was sent again without asking whether its key was withdrawn meanwhile. Ruled out: a check in the pool thread, which does not own the configuration. Change: every further attempt authenticates again; a refusal after an attempt that may have run says unknown, whatever refuses it.

--- a/src/banyanshed/traffic.py
+++ b/src/banyanshed/traffic.py
@@ -420,8 +420,10 @@
 
     def _refuse(self, serving_now: Serving, refusal: models.Refusal) -> None:
         """Ends a request with a refusal that tells what may have run."""
-        if serving_now.failure is not None:
-            refusal = retries.refusal(serving_now.history, serving_now.failure)
+        failure = serving_now.failure
+        may_have_run = serving_now.history.ran is models.Ran.UNKNOWN
+        if failure is not None and may_have_run:
+            refusal = retries.refusal(serving_now.history, failure)
         self.serving.pop(serving_now.admitted.ticket, None)
         self._reply(serving_now, refusal)
 
@@ -434,12 +436,26 @@
         self._end_attempt(serving_now, event.outcome, now_s)
         if isinstance(event.outcome, requests.Answer):
             del self.serving[event.ticket]
-        elif event.outcome.code == serving.LAPSED_CODE:
-            self._admit_again(serving_now, now_s)
         else:
-            self._retry_or_refuse(serving_now, event.outcome, now_s)
+            self._go_on(serving_now, event.outcome, now_s)
         self._serve_waiting(now_s)
 
+    def _go_on(
+        self,
+        serving_now: Serving,
+        failure: requests.AttemptFailure,
+        now_s: float,
+    ) -> None:
+        """Decides what follows a failed attempt."""
+        serving_now.failure = failure
+        refusal = self._check_key_again(serving_now, now_s)
+        if refusal is not None:
+            self._refuse(serving_now, refusal)
+        elif failure.code == serving.LAPSED_CODE:
+            self._admit_again(serving_now, now_s)
+        else:
+            self._retry_or_refuse(serving_now, failure, now_s)
+
     @handle.register
     def _on_request_ended(
         self, event: events.RequestEnded, now_s: float
@@ -483,13 +499,21 @@
             return
         self._place_or_wait(serving_now, now_s)
 
+    def _check_key_again(
+        self, serving_now: Serving, now_s: float
+    ) -> models.Refusal | None:
+        """Returns the refusal of a request whose key was withdrawn since."""
+        tenant = self._authenticate(
+            serving_now.service, serving_now.request, now_s
+        )
+        return tenant if isinstance(tenant, models.Refusal) else None
+
     def _retry_or_refuse(
         self,
         serving_now: Serving,
         failure: requests.AttemptFailure,
         now_s: float,
     ) -> None:
-        serving_now.failure = failure
         decision = retries.decide(
             serving_now.request,
             serving_now.history,
