Ask whether a claim may still be sent; show holdings of a starved host

Cause: claims.may_send, which the proofs rely on, was called by tests alone; and a run of all process tests failed once in test_false_load_reports_do_not_ herd: one host got no unit for 90 s, with no trace of who held them. Ruled out: the test alone (passes 1 of 1), its file (2 of 2) and under 12 busy loops (1 of 1) pass; the cause is not found. Change: serving asks before it sends; the failing check prints the states of all hosts and the share rows.

--- a/src/banyanshed/serving.py
+++ b/src/banyanshed/serving.py
@@ -92,14 +92,25 @@
         decision = self.bridge.ask(
             lambda reply: events.PlacementWanted(admitted.ticket, reply)
         )
-        if isinstance(decision, events.Placed):
-            result = self._attempt(request, decision)
-        else:
-            assert isinstance(decision, models.Refusal)
-            result = decision
+        result = self._run_claimed(request, claim, decision)
         self._settle(claim, result)
         return result
 
+    def _run_claimed(
+        self,
+        request: requests.CallerRequest,
+        claim: claims.Claim,
+        decision: events.Decision,
+    ) -> requests.Answer | models.Refusal:
+        """Sends a claimed request once placed, unless its time has passed."""
+        if isinstance(decision, events.Placed):
+            if claims.may_send(claim, time.monotonic()):
+                return self._attempt(request, decision)
+            late = requests.AttemptFailure(models.Ran.NO, "deadline")
+            decision = self._ask_again(decision, late)
+        assert isinstance(decision, models.Refusal)
+        return decision
+
     def _settle(
         self, claim: claims.Claim, result: requests.Answer | models.Refusal
     ) -> None:
--- a/tests/test_limit_proofs.py
+++ b/tests/test_limit_proofs.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import itertools
+import json
 import math
 import signal
 import threading
@@ -108,11 +109,18 @@
         end_s = time.monotonic() + HANG_S
         for host, number in wanted.items():
             while self.served(host) < number:
-                assert time.monotonic() < end_s, (host, self.codes(host))
+                assert time.monotonic() < end_s, self.describe(host)
                 time.sleep(0.05)
 
-    def codes(self, host):
-        return [a.data[:200] for a in self.answers[host][-3:]]
+    def describe(self, starved):
+        """Returns the last answers of a host, and the shares of all."""
+        found = {starved: [a.data[:200] for a in self.answers[starved][-3:]]}
+        for host in self.fleet.hosts:
+            state = self.fleet.operate("GET", "state", host=host)
+            found[host, "state"] = state["shares"], state["traffic"]
+        page = {"prefix": "s", "since": 0}
+        table = self.fleet.platform.call("POST", "/table/scan", page)
+        return json.dumps([str(found), table.json()])
 
 
 def executions(fleet, prefix):
