Share the crowd of threads and the table's forms between tests

Cause: duplicates found the thread handling of two load tests twice, and the stand-in's pages and commits were read by two fakes in the same way. Change: tests/crowd.py; fakes.read_page and read_commit serve both fakes. No assertion is changed.

--- /dev/null
+++ b/tests/crowd.py
@@ -0,0 +1,22 @@
+"""Threads that call a running installation without pause."""
+
+import threading
+
+
+class Crowd:
+    """Runs each action in a thread until the block is left."""
+
+    def __init__(self, actions):
+        self.stopping = threading.Event()
+        self.lock = threading.Lock()
+        self.threads = [threading.Thread(target=action) for action in actions]
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exception):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -22,6 +22,19 @@
     )
 
 
+def read_page(page):
+    """Returns a page of the platform's stand-in as the adapters do."""
+    rows = tuple(models.TableRow(**row) for row in page["rows"])
+    return models.TablePage(rows, page["version"], page["now_s"])
+
+
+def read_commit(status, result):
+    """Returns a commit of the platform's stand-in, or raises its refusal."""
+    if status == 409:
+        raise exceptions.ConditionFailed(read_page(result).rows)
+    return models.Commit(result["version"], result["now_s"])
+
+
 class MemoryTable:
     """Table service whose next calls fail as `faults` says.
 
@@ -47,9 +60,7 @@
         status, result = self._call(
             lambda: self.platform.transact(dataclasses.asdict(transaction))
         )
-        if status == 409:
-            raise exceptions.ConditionFailed(self._page(result).rows)
-        return models.Commit(result["version"], self.now_s)
+        return read_commit(status, result | {"now_s": self.now_s})
 
     def deliver(self):
         for apply in self.late:
@@ -69,8 +80,7 @@
         return result
 
     def _page(self, page):
-        rows = tuple(models.TableRow(**row) for row in page["rows"])
-        return models.TablePage(rows, page["version"], self.now_s)
+        return read_page(page | {"now_s": self.now_s})
 
 
 class MemoryObjects:
--- a/tests/tables.py
+++ b/tests/tables.py
@@ -1,9 +1,11 @@
 """A table service in memory whose transactions fail as told."""
 
+import dataclasses
+
 from banyanshed import exceptions
-from banyanshed import models
 from banyanshed import rows
 from standins import platform
+from tests import fakes
 
 
 class MemoryTable:
@@ -25,10 +27,10 @@
         if self.reads_fail:
             self.reads_fail -= 1
             raise exceptions.StoreUnavailable("down")
-        return self.page(self.state.read(list(keys)))
+        return fakes.read_page(self.state.read(list(keys)))
 
     def scan(self, prefix, since):
-        return self.page(self.state.scan(prefix, since))
+        return fakes.read_page(self.state.scan(prefix, since))
 
     def transact(self, transaction):
         for action in self.before_transact[:1]:
@@ -56,19 +58,8 @@
                 continue
 
     def take(self, transaction):
-        request = {
-            "conditions": [vars(item) for item in transaction.conditions],
-            "writes": [vars(item) for item in transaction.writes],
-        }
-        status, result = self.state.transact(request)
-        if status == 409:
-            raise exceptions.ConditionFailed(self.page(result).rows)
-        return models.Commit(result["version"], result["now_s"])
+        request = dataclasses.asdict(transaction)
+        return fakes.read_commit(*self.state.transact(request))
 
     def value(self, row):
         return self.state.row(rows.row_key(row))["value"]
-
-    @staticmethod
-    def page(page):
-        found = tuple(models.TableRow(**row) for row in page["rows"])
-        return models.TablePage(found, page["version"], page["now_s"])
--- a/tests/test_editing.py
+++ b/tests/test_editing.py
@@ -7,6 +7,7 @@
 from banyanshed import edits
 from banyanshed import exceptions
 from banyanshed import rows
+from tests import fakes
 from tests import tables
 
 FAULTS = st.lists(
@@ -41,7 +42,7 @@
 
 
 def changes(table):
-    head = table.page(table.state.read([rows.HEAD_KEY])).rows[0]
+    head = fakes.read_page(table.state.read([rows.HEAD_KEY])).rows[0]
     return edits.recent_changes(head)
 
 
--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -1,7 +1,7 @@
 """Planned stops and restarts of a running installation, under load."""
 
 import contextlib
-import threading
+import functools
 import time
 
 import pytest
@@ -10,6 +10,7 @@
 from banyanshed import exceptions
 from standins import fleet as fleets
 from standins import sites
+from tests import crowd
 
 pytestmark = pytest.mark.processes
 
@@ -17,29 +18,17 @@
 AWAIT_STEPS = 1000
 
 
-class Load:
+class Load(crowd.Crowd):
     """Callers that read and book without pause, and what became of it."""
 
     def __init__(self, installation, threads=4):
+        actions = [
+            functools.partial(self.run, number) for number in range(threads)
+        ]
+        super().__init__(actions)
         self.installation = installation
-        self.stopping = threading.Event()
-        self.lock = threading.Lock()
         self.answered = []
         self.refused = []
-        self.threads = [
-            threading.Thread(target=self.run, args=(number,))
-            for number in range(threads)
-        ]
-
-    def __enter__(self):
-        for thread in self.threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *exception):
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join()
 
     def run(self, number):
         seeds = self.installation.fleet.addresses()
--- a/tests/test_limit_proofs.py
+++ b/tests/test_limit_proofs.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import functools
 import itertools
 import json
 import math
@@ -15,6 +16,7 @@
 from banyanshed import rows
 from standins import fleet as fleets
 from standins import sites
+from tests import crowd
 
 pytestmark = pytest.mark.processes
 
@@ -52,33 +54,22 @@
         yield found
 
 
-class Pressure:
+class Pressure(crowd.Crowd):
     """Threads that ask every host without pause; what came back, by host."""
 
     def __init__(self, fleet, key, service, pause_s, deadline_s):
+        actions = [
+            functools.partial(self.run, host)
+            for host in fleet.hosts
+            for _ in range(HOST_THREADS)
+        ]
+        super().__init__(actions)
         self.fleet = fleet
         self.key = key
         self.service = service
         self.pause_s = pause_s
         self.deadline_s = deadline_s
-        self.stopping = threading.Event()
-        self.lock = threading.Lock()
         self.answers = {host: [] for host in fleet.hosts}
-        self.threads = [
-            threading.Thread(target=self.run, args=(host,))
-            for host in fleet.hosts
-            for _ in range(HOST_THREADS)
-        ]
-
-    def __enter__(self):
-        for thread in self.threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *exception):
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join()
 
     def run(self, host):
         address = self.fleet.hosts[host].address
