--- a/scripts/check.py
+++ b/scripts/check.py
@@ -1,8 +1,8 @@
 """Runs all tests; known failures listed in KNOWN-RED.txt are run and printed.
 
-Tests that start processes run after the others and one at a time, so that
-they do not compete for processors. A listed test that passes is an error: its
-entry must go.
+Tests that start processes run before the others and one at a time, so that
+they do not compete for processors. A listed test that passes is an error and
+its entry must go, unless the entry says that it fails intermittently.
 """
 
 import dataclasses
