Set the metrics that were registered and never told

Cause: six gauges and counters (configuration's version and age, peers, work at hand, waiters, retries, answers) were registered and shown as 0 for good, though PEERS.md sends operators to them. Ruled out: setting them as things change, which adds work to the request path. Change: gauges are sampled when metrics are asked for; answers are counted by service, since the thread that counts knows no region; retries are a gauge. Measured: the new test failed with version 0 for 5, and passes.

--- a/src/banyanshed/daemon.py
+++ b/src/banyanshed/daemon.py
@@ -1,6 +1,7 @@
 """The daemon `banyanshed-entry`: sockets, timers and threads round the core."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable, Mapping
 import concurrent.futures
 import contextlib
@@ -467,6 +468,7 @@
                 answer.ran.value,
             ).inc()
             return answer
+        self.telemetry.answers.labels(request.service).inc()
         self.telemetry.latency.labels(request.service).observe(
             time.monotonic() - arrived_s
         )
@@ -487,6 +489,25 @@
             "config_version": self.entry.config.version,
         }
 
+    def sample_gauges(self) -> None:
+        """Sets the metrics that tell the present state."""
+        self.bridge.run(self._sample_gauges)
+
+    def _sample_gauges(self) -> None:
+        entry = self.entry
+        telemetry = self.telemetry
+        age_s = entry.freshness.config_age_s(time.monotonic())
+        telemetry.config_version.set(entry.config.version)
+        telemetry.config_age.set(age_s)
+        telemetry.in_flight.set(entry.traffic.in_flight)
+        telemetry.waiting.set(len(entry.traffic.queue))
+        telemetry.retries.set(entry.traffic.retried)
+        peers_by_state = collections.Counter(
+            host.state for host in entry.known_hosts() if host.host != self.host
+        )
+        for state in models.HostState:
+            telemetry.peers.labels(state.value).set(peers_by_state[state])
+
     def state_dump(self) -> dict[str, Any]:
         """Returns the state of this daemon as JSON data."""
         return self.bridge.run(self._state)
--- a/src/banyanshed/server.py
+++ b/src/banyanshed/server.py
@@ -64,6 +64,9 @@
     def health(self) -> dict[str, Any]:
         """Returns whether this host takes new callers, as JSON data."""
 
+    def sample_gauges(self) -> None:
+        """Sets the metrics that tell the present state."""
+
 
 class PublicPages:
     """Pages that need no token: metrics and health."""
@@ -81,6 +84,7 @@
         cherrypy.response.headers["Content-Type"] = (
             prometheus_client.CONTENT_TYPE_LATEST
         )
+        self.source.sample_gauges()
         return self.telemetry.encode()
 
     @cherrypy.expose
--- a/src/banyanshed/telemetry.py
+++ b/src/banyanshed/telemetry.py
@@ -27,14 +27,11 @@
         self.registry = prometheus_client.CollectorRegistry()
         self.lookups = self._counter("lookups", "Look-ups answered.")
         self.answers = self._counter(
-            "answers", "Whole answers of backend servers.", "service", "region"
+            "answers", "Whole answers of backend servers.", "service"
         )
         self.refusals = self._counter(
             "refusals", "Refused requests.", "service", "code", "ran"
         )
-        self.retries = self._counter(
-            "retries", "Attempts after the first.", "service"
-        )
         self.platform_errors = self._counter(
             "platform_errors", "Failed platform calls.", "call", "code"
         )
@@ -56,6 +53,9 @@
         )
         self.in_flight = self._gauge("in_flight", "Requests at work.")
         self.waiting = self._gauge("waiting", "Requests waiting for a unit.")
+        self.retries = self._gauge(
+            "retries", "Attempts after the first, since the start."
+        )
         self.peers = self._gauge("peers", "Peers by state.", "state")
 
     def encode(self) -> bytes:
--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -167,3 +167,18 @@
             load.await_answers(20)
     assert [r.code for _, r in load.refused if r.ran != "no"] == []
     check_whole(installation, load)
+
+
+def test_metrics_tell_what_the_host_knows_and_served(exits):
+    installation = start(exits)
+    fleet = installation.fleet
+    with Load(installation) as load:
+        load.await_answers(20)
+    child = fleet.hosts["sask-a-1"]
+    version = child.get("/health")["config_version"]
+    lines = child.call("GET", "/metrics").data.decode().splitlines()
+    values = dict(line.rsplit(" ", 1) for line in lines if line[0] != "#")
+    assert float(values["banyanshed_config_version"]) == version
+    assert 0 < float(values["banyanshed_config_age_seconds"]) < 30
+    assert float(values['banyanshed_peers{state="live"}']) == 2
+    assert float(values['banyanshed_answers_total{service="bookings"}']) > 0
