Ask the queue and the configuration what they already answer

Cause: traffic told by itself who must wait, beside WaitQueue.must_wait, and entry walked the drains beside Configuration.drained and backend_drained, which only tests called. Change: both call the piece that was there; behaviour is as before.

--- a/src/banyanshed/entry.py
+++ b/src/banyanshed/entry.py
@@ -141,13 +141,23 @@
             return frozenset()
         store_s = self.clock.latest_s(now_s)
         keys = []
-        for drain in self.config.drains.values():
-            if not drain.starts_s <= store_s < drain.ends_s:
+        for key, row in self.config.rows.items():
+            if isinstance(row, rows.PlacementRow):
+                drained = self.config.drained(
+                    models.ServiceId(row.service),
+                    models.RegionId(row.region),
+                    store_s,
+                )
+            elif isinstance(row, rows.BackendRow):
+                drained = self.config.backend_drained(
+                    models.ServiceId(row.service),
+                    models.BackendId(row.backend),
+                    store_s,
+                )
+            else:
                 continue
-            kind, name = "placement", drain.region
-            if drain.backend is not None:
-                kind, name = "backend", drain.backend
-            keys.append(f"{rows.CONFIG_PREFIX}{kind}/{drain.service}/{name}")
+            if drained:
+                keys.append(key)
         return frozenset(keys)
 
     # Fleet.
--- a/src/banyanshed/traffic.py
+++ b/src/banyanshed/traffic.py
@@ -384,11 +384,9 @@
     def _must_wait(self, serving_now: Serving) -> bool:
         """Returns whether others wait that must not be overtaken."""
         service = serving_now.request.service
-        if service in self.queue.lines[models.Priority.INTERACTIVE]:
+        if self.queue.must_wait(service, models.Priority.INTERACTIVE):
             return True
-        if serving_now.service.priority is models.Priority.INTERACTIVE:
-            return False
-        return service in self.queue.lines[models.Priority.BACKGROUND]
+        return self.queue.must_wait(service, serving_now.service.priority)
 
     def _place(self, serving_now: Serving, now_s: float) -> bool:
         """Places a request and tells its thread; false when it can't be."""
