Read any checked YAML document with one reader

Cause: the settings module held a reader of checked YAML with findings by line that nothing else could use; an experiment's scenario needs the same. Tests: test_settings and test_cli as they were.

--- a/src/banyanshed/settings.py
+++ b/src/banyanshed/settings.py
@@ -1,13 +1,11 @@
 """The YAML settings of a daemon, checked whole before anything starts."""
 
-from collections.abc import Iterator
-from typing import Annotated, Any
+from typing import Annotated
 
 import pydantic
-import yaml
 
 from banyanshed import addresses
-from banyanshed import exceptions
+from banyanshed import documents
 from banyanshed import models
 from banyanshed import rows
 from banyanshed import sessions
@@ -30,15 +28,7 @@
 Digest = Annotated[str, pydantic.StringConstraints(pattern="^[0-9a-f]{64}$")]
 
 
-class StrictModel(pydantic.BaseModel):
-    """Refuses unknown fields and never repeats an input in an error."""
-
-    model_config = pydantic.ConfigDict(
-        extra="forbid", frozen=True, hide_input_in_errors=True
-    )
-
-
-class PlatformSettings(StrictModel):
+class PlatformSettings(documents.StrictModel):
     """Where the platform's services are.
 
     Attributes:
@@ -54,7 +44,7 @@
     timeout_s: Seconds = 1.5
 
 
-class Settings(StrictModel):
+class Settings(documents.StrictModel):
     """Settings of one entry host.
 
     Attributes:
@@ -140,74 +130,4 @@
     Raises:
         exceptions.InvalidSettings: with all findings by line and field.
     """
-    root = _compose(text)
-    if not isinstance(root, yaml.MappingNode):
-        raise exceptions.InvalidSettings(
-            [exceptions.Finding("line 1", "not_a_mapping", "expected fields")]
-        )
-    findings = list(_find_duplicates(root))
-    try:
-        settings = Settings.model_validate(_construct(text))
-    except pydantic.ValidationError as error:
-        for detail in error.errors(include_input=False, include_url=False):
-            findings.append(_finding(root, detail["loc"], detail))
-    if findings:
-        raise exceptions.InvalidSettings(findings)
-    return settings
-
-
-def _compose(text: str) -> yaml.Node | None:
-    try:
-        root = yaml.compose(text, Loader=yaml.SafeLoader)
-        _construct(text)
-    except yaml.YAMLError as error:
-        raise exceptions.InvalidSettings([_syntax_finding(error)]) from None
-    except (ValueError, RecursionError):
-        finding = exceptions.Finding("line 1", "yaml", "a value is malformed")
-        raise exceptions.InvalidSettings([finding]) from None
-    return root
-
-
-def _construct(text: str) -> Any:
-    return yaml.load(text, Loader=yaml.SafeLoader)
-
-
-def _syntax_finding(error: yaml.YAMLError) -> exceptions.Finding:
-    # The library's own message may quote the file, and so a secret.
-    mark = getattr(error, "problem_mark", None)
-    line = 1 if mark is None else mark.line + 1
-    return exceptions.Finding(f"line {line}", "yaml", "malformed YAML")
-
-
-def _find_duplicates(node: yaml.Node) -> Iterator[exceptions.Finding]:
-    if not isinstance(node, yaml.MappingNode):
-        return
-    seen = set()
-    for key, value in node.value:
-        if key.value in seen:
-            yield exceptions.Finding(
-                f"line {key.start_mark.line + 1}, field {key.value}",
-                "duplicate_field",
-                "the field is given twice",
-            )
-        seen.add(key.value)
-        yield from _find_duplicates(value)
-
-
-def _finding(
-    root: yaml.Node, loc: tuple[int | str, ...], detail: Any
-) -> exceptions.Finding:
-    node = root
-    line = 1
-    for part in loc:
-        if not isinstance(node, yaml.MappingNode):
-            break
-        for key, value in node.value:
-            if key.value != str(part):
-                continue
-            line = key.start_mark.line + 1
-            node = value
-            break
-    field = ".".join(str(part) for part in loc if part != "[key]")
-    place = f"line {line}, field {field}" if field else f"line {line}"
-    return exceptions.Finding(place, detail["type"], detail["msg"])
+    return documents.load(text, Settings)
