Compare ways to place requests with a command on simulated time

Change: banyanshed-lab reads a scenario (fleet, load, faults of servers, variants: policies and constants), plays it over many seeds and prints a table and a plot by second.

--- /dev/null
+++ b/src/banyanshed/lab/experiments.py
@@ -0,0 +1,155 @@
+"""Plays a scenario's variants over many seeds and tabulates the results."""
+
+from collections.abc import Sequence
+from concurrent import futures
+import dataclasses
+import pathlib
+import statistics
+
+from matplotlib import figure
+
+from banyanshed.lab import model as model_lib
+from banyanshed.lab import policies
+from banyanshed.lab import scenarios
+
+COLUMNS = ("variant", "in time", "worst seed", "late", "refused", "failed")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What callers got in one play, in parts of their requests.
+
+    Attributes:
+        in_time: Answered within the objective.
+        late: Answered later.
+        refused: Rejected at the last try.
+        failed: Without an answer.
+        by_second: Answered within the objective, by second of the request.
+    """
+
+    in_time: float
+    late: float
+    refused: float
+    failed: float
+    by_second: tuple[float, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """The plays of one variant.
+
+    Attributes:
+        variant: The variant's name.
+        results: One result a seed.
+    """
+
+    variant: str
+    results: tuple[Result, ...]
+
+    def mean(self, field: str) -> float:
+        """Returns the mean of a field over all seeds."""
+        return statistics.fmean(getattr(r, field) for r in self.results)
+
+    def mean_by_second(self) -> list[float]:
+        """Returns the mean of the part in time, by second."""
+        columns = zip(*(r.by_second for r in self.results), strict=True)
+        return [statistics.fmean(column) for column in columns]
+
+
+def play(
+    scenario: scenarios.Scenario, variant: scenarios.Variant, seed: int
+) -> Result:
+    """Plays one variant with one seed.
+
+    Raises:
+        exceptions.InvalidSettings: A constant of the variant is unknown.
+    """
+    with policies.override_constants(variant.constants):
+        model = model_lib.Model(scenario, variant, seed)
+        model.play()
+    start_s = int(scenario.measured_from_s)
+    end_s = int(scenario.length_s)
+    return Result(
+        model.share(model.in_time, start_s, end_s),
+        model.share(model.late, start_s, end_s),
+        model.share(model.refused, start_s, end_s),
+        model.share(model.failed, start_s, end_s),
+        tuple(
+            model.share(model.in_time, second, second + 1)
+            for second in range(end_s)
+        ),
+    )
+
+
+def compare(
+    scenario: scenarios.Scenario, seeds: int, processes: int
+) -> list[Summary]:
+    """Plays all variants of a scenario.
+
+    Args:
+        scenario: What to play.
+        seeds: Number of plays a variant.
+        processes: Plays at a time.
+
+    Returns:
+        One summary a variant, in the scenario's order.
+    """
+    summaries = []
+    with futures.ProcessPoolExecutor(processes) as pool:
+        for variant in scenario.variants:
+            plays = [
+                pool.submit(play, scenario, variant, seed)
+                for seed in range(1, seeds + 1)
+            ]
+            results = tuple(one.result() for one in plays)
+            summaries.append(Summary(variant.name, results))
+    return summaries
+
+
+def format_table(summaries: Sequence[Summary]) -> str:
+    """Returns the summaries as a table for people."""
+    rows: list[tuple[str, ...]] = [COLUMNS]
+    for summary in summaries:
+        worst = min(result.in_time for result in summary.results)
+        shares = [
+            summary.mean("in_time"),
+            worst,
+            summary.mean("late"),
+            summary.mean("refused"),
+            summary.mean("failed"),
+        ]
+        cells = [f"{share:.3f}" for share in shares]
+        rows.append((summary.variant, *cells))
+    widths = [max(len(row[n]) for row in rows) for n in range(len(COLUMNS))]
+    lines = []
+    for row in rows:
+        cells = [row[0].ljust(widths[0])]
+        for cell, width in zip(row[1:], widths[1:], strict=True):
+            cells.append(cell.rjust(width))
+        lines.append("  ".join(cells))
+    return "\n".join(lines)
+
+
+def draw_plot(
+    scenario: scenarios.Scenario,
+    summaries: Sequence[Summary],
+    path: pathlib.Path,
+) -> None:
+    """Writes a plot of the part in time by second.
+
+    Raises:
+        OSError: The file can't be written.
+    """
+    drawing = figure.Figure(figsize=(8.0, 4.5))
+    axes = drawing.subplots()
+    for summary in summaries:
+        axes.plot(summary.mean_by_second(), label=summary.variant)
+    for fault in scenario.faults:
+        end_s = fault.at_s + fault.for_s
+        axes.axvspan(fault.at_s, end_s, alpha=0.1, color="tab:red")
+    axes.set_title(scenario.name)
+    axes.set_xlabel("second of the request")
+    axes.set_ylabel("answered within the objective")
+    axes.set_ylim(0.0, 1.02)
+    axes.legend()
+    drawing.savefig(path)
--- /dev/null
+++ b/src/banyanshed/lab/model.py
@@ -0,0 +1,314 @@
+"""Simulation of hosts, servers and callers.
+
+Hosts decide with the product's steering and tell each other what the beats
+between hosts tell; messages take a while and may be lost.
+"""
+
+import collections
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+from typing import Any
+
+from banyanshed.lab import policies
+from banyanshed.lab import requests
+from banyanshed.lab import scenarios
+from banyanshed.lab import servers as servers_lib
+from banyanshed.steering import cold
+from banyanshed.steering import health
+from banyanshed.steering import models
+from banyanshed.steering import placement
+from banyanshed.steering import views
+from banyanshed.steering import warmth
+
+SERVICE = models.ServiceName("service")
+ZONES = {
+    models.ZoneName(zone): models.RegionName(zone[0])
+    for zone in ("a1", "a2", "b1", "b2")
+}
+ROUTE_NAME = models.RouteName("route")
+_SETUP_AT_S = -10.0
+
+
+class Host:
+    """A host's decisions."""
+
+    def __init__(
+        self,
+        number: int,
+        scenario: scenarios.Scenario,
+        variant: scenarios.Variant,
+        entries: list[models.Registration],
+        route: models.Route,
+        seed: int,
+    ):
+        """Knows all servers from the start."""
+        self.id = models.HostId(f"h{number}")
+        regions = sorted(set(ZONES.values()))
+        self.region = regions[number % len(regions)]
+        view = views.View(dict(ZONES))
+        services = [models.Service(SERVICE, 3.0, 8.0)]
+        view.accept_configuration(
+            models.Configuration(1, routes=[route], services=services)
+        )
+        for entry in entries:
+            view.put_server(entry, _SETUP_AT_S, 10**6)
+        rng = random.Random(seed * 1000 + number)
+        self.placing = placement.Placement(
+            self.region,
+            view,
+            health.Health(),
+            cold.ColdRates(self.id, view, lambda: [self.id]),
+            warmth.Warmth(),
+            rng.random,
+        )
+        self.chooser = policies.Chooser(variant.policy, self.placing, rng)
+
+
+class Model:
+    """Plays a scenario; counts what callers get, by second of the request.
+
+    Attributes:
+        asked: Requests.
+        in_time: Answers within the objective.
+        late: Later answers.
+        refused: Requests whose last try was rejected.
+        failed: Requests without an answer.
+        cut: Attempts that were cut at their deadline.
+    """
+
+    def __init__(
+        self,
+        scenario: scenarios.Scenario,
+        variant: scenarios.Variant,
+        seed: int,
+    ):
+        """Builds the fleet."""
+        self.scenario = scenario
+        self.rng = random.Random(seed)
+        self.route = models.Route(
+            ROUTE_NAME,
+            "host",
+            "/",
+            (models.Part(SERVICE, 1.0),),
+            True,
+            scenario.timeout_s,
+            scenario.objective_s,
+            scenario.attempts,
+        )
+        entries = _make_entries(scenario)
+        self.servers = {
+            entry.id: servers_lib.Server(scenario, self.rng)
+            for entry in entries
+        }
+        self.hosts = [
+            Host(number, scenario, variant, entries, self.route, seed)
+            for number in range(scenario.hosts)
+        ]
+        self.events: list[tuple[float, int, Callable[..., None], Any]] = []
+        self.order = itertools.count()
+        self.asked: collections.Counter[int] = collections.Counter()
+        self.in_time: collections.Counter[int] = collections.Counter()
+        self.late: collections.Counter[int] = collections.Counter()
+        self.refused: collections.Counter[int] = collections.Counter()
+        self.failed: collections.Counter[int] = collections.Counter()
+        self.cut: collections.Counter[int] = collections.Counter()
+
+    def play(self) -> None:
+        """Plays the whole scenario."""
+        self._schedule_requests()
+        self._schedule_faults()
+        for host in self.hosts:
+            at = self.rng.random() * self.scenario.beat_s
+            self._at(at, self._beat, host)
+        while self.events:
+            now, _, action, arguments = heapq.heappop(self.events)
+            action(now, *arguments)
+
+    def share(
+        self, counter: collections.Counter[int], start_s: int, end_s: int
+    ) -> float:
+        """Returns a counter's part of the requests of some seconds."""
+        seconds = range(start_s, end_s)
+        asked = sum(self.asked[second] for second in seconds)
+        return sum(counter[second] for second in seconds) / max(1, asked)
+
+    def _at(
+        self, when: float, action: Callable[..., None], *arguments: Any
+    ) -> None:
+        heapq.heappush(self.events, (when, next(self.order), action, arguments))
+
+    def _schedule_requests(self) -> None:
+        now = 0.0
+        while now < self.scenario.length_s:
+            now += self.rng.expovariate(self.scenario.rate)
+            host = self.rng.randrange(len(self.hosts))
+            # Each region's callers ask for objects of their own.
+            number = self.rng.randrange(max(1, self.scenario.objects // 2))
+            key = f"{self.hosts[host].region}{number}"
+            self.asked[int(now)] += 1
+            self._at(now, self._ask, requests.Request(now, key, host))
+
+    def _schedule_faults(self) -> None:
+        names = sorted(self.servers)
+        for fault in self.scenario.faults:
+            hit = self.rng.sample(names, round(fault.share * len(names)))
+            self._at(fault.at_s, self._set_fault, hit, fault)
+            self._at(fault.at_s + fault.for_s, self._set_fault, hit, None)
+
+    def _set_fault(
+        self,
+        _: float,
+        names: list[models.ServerId],
+        fault: scenarios.Fault | None,
+    ) -> None:
+        for name in names:
+            self.servers[name].fault = fault
+
+    def _beat(self, now: float, sender: Host) -> None:
+        placing = sender.placing
+        work = dict(placing.health.at_work())
+        pairs = placing.warmth.take_untold(warmth.Audience.ALL)
+        for host in self.hosts:
+            if host is sender or self.rng.random() < self.scenario.beat_lost:
+                continue
+            at = now + self.scenario.beat_delay_s
+            self._at(at, self._hear, host, sender, work, pairs)
+        if now < self.scenario.length_s:
+            self._at(now + self.scenario.beat_s, self._beat, sender)
+
+    def _hear(
+        self,
+        now: float,
+        host: Host,
+        sender: Host,
+        work: dict[models.ServerId, int],
+        pairs: list[int],
+    ) -> None:
+        host.placing.set_peer_work(sender.id, work)
+        host.placing.warmth.learn(pairs, now)
+
+    def _ask(self, now: float, request: requests.Request) -> None:
+        request.tries += 1
+        request.tried = []
+        request.expires_at = now + self.scenario.timeout_s
+        self._send(now, request)
+
+    def _send(self, now: float, request: requests.Request) -> None:
+        is_spent = len(request.tried) >= self.scenario.attempts
+        if is_spent or request.expires_at <= now:
+            self.failed[int(request.at)] += 1
+            return
+        host = self.hosts[request.host]
+        demand = placement.Demand(
+            self.route,
+            SERVICE,
+            request.object_key,
+            (),
+            0,
+            request.tried,
+            request.expires_at - now,
+        )
+        choice = host.chooser.choose(demand, now)
+        if isinstance(choice, placement.Rejection):
+            self._reject(now, request, choice.retry_after_s)
+            return
+        name = choice.server.registration.id
+        request.tried.append(name)
+        number = host.placing.health.start(name, now)
+        self._accept(now, requests.Attempt(request, choice, number, now))
+
+    def _reject(
+        self, now: float, request: requests.Request, retry_after_s: float
+    ) -> None:
+        if request.tried:
+            self.failed[int(request.at)] += 1
+            return
+        if request.tries >= self.scenario.caller_tries:
+            self.refused[int(request.at)] += 1
+            return
+        self._at(now + retry_after_s, self._ask, request)
+
+    def _accept(self, now: float, attempt: requests.Attempt) -> None:
+        server = self._server_of(attempt)
+        if server.has(scenarios.Trouble.DOWN):
+            self._end(now, attempt, health.Outcome.UNREACHABLE)
+            return
+        if server.running < self.scenario.slots:
+            self._run(now, attempt, server)
+            return
+        if len(server.queue) >= self.scenario.queue:
+            self._end(now, attempt, health.Outcome.REJECTED)
+            return
+        server.queue.append(attempt)
+        self._at(attempt.request.expires_at, self._expire, attempt, server)
+
+    def _expire(
+        self, now: float, attempt: requests.Attempt, server: servers_lib.Server
+    ) -> None:
+        """Ends an attempt that still waits when nobody does any longer."""
+        if attempt not in server.queue:
+            return
+        server.queue.remove(attempt)
+        self.cut[int(attempt.request.at)] += 1
+        self._end(now, attempt, health.Outcome.FAILURE)
+
+    def _run(
+        self, now: float, attempt: requests.Attempt, server: servers_lib.Server
+    ) -> None:
+        ends_at = server.start(attempt, now)
+        self._at(ends_at, self._finish, attempt, server)
+
+    def _finish(
+        self, now: float, attempt: requests.Attempt, server: servers_lib.Server
+    ) -> None:
+        server.finish(attempt)
+        if now >= attempt.request.expires_at:
+            self.cut[int(attempt.request.at)] += 1
+        self._end(now, attempt, attempt.outcome)
+        while server.queue and server.running < self.scenario.slots:
+            self._run(now, server.queue.popleft(), server)
+
+    def _end(
+        self, now: float, attempt: requests.Attempt, outcome: health.Outcome
+    ) -> None:
+        request, choice = attempt.request, attempt.choice
+        placing = self.hosts[request.host].placing
+        name = choice.server.registration.id
+        placing.health.finish(name, SERVICE, attempt.number, outcome, now)
+        if outcome is not health.Outcome.SUCCESS:
+            self._send(now, request)
+            return
+        on_time = now - request.at <= self.scenario.objective_s
+        counter = self.in_time if on_time else self.late
+        counter[int(request.at)] += 1
+        placing.warmth.note_answer(
+            self.route,
+            choice.pair,
+            choice.load < placement.OWNER_LOAD,
+            now - attempt.started_at,
+            now,
+        )
+
+    def _server_of(self, attempt: requests.Attempt) -> servers_lib.Server:
+        return self.servers[attempt.choice.server.registration.id]
+
+
+def _make_entries(
+    scenario: scenarios.Scenario,
+) -> list[models.Registration]:
+    zones = list(ZONES)
+    return [
+        models.Registration(
+            models.ServerId(f"i{number}"),
+            ("10.0.0.1", number + 1),
+            SERVICE,
+            zones[number % len(zones)],
+            scenario.slots,
+            state=models.ServerState.READY,
+            cold_left_s=0.0,
+            born_ms=1000,
+        )
+        for number in range(scenario.servers)
+    ]
--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -199,6 +199,14 @@
                 break
         return candidates, cold_servers
 
+    def rate_all(self, demand: Demand, now: float) -> list[Choice]:
+        """Returns every server that may take a request, in its order."""
+        return [
+            self._rate(demand, server, now)
+            for server in self._order(demand.service, demand.object_key)
+            if self._may_serve(server, demand, now)
+        ]
+
     def _compare(
         self, candidates: list[Choice], objective_s: float
     ) -> Choice | None:
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,97 @@
+import pathlib
+
+import pytest
+
+from banyanshed import exceptions
+from banyanshed.lab import __main__ as lab
+from banyanshed.lab import experiments
+from banyanshed.lab import policies
+from banyanshed.lab import scenarios
+from banyanshed.steering import placement
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples" / "lab"
+SHORT = "name: short\nlength_s: 6\nmeasured_from_s: 3\n"
+
+
+@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*.yaml")), ids=str)
+def test_the_examples_are_valid(path):
+    assert scenarios.load(path.read_text()).variants
+
+
+def test_findings_tell_the_line_of_a_fault_in_a_list():
+    text = SHORT + (
+        "faults:\n"
+        "  - {trouble: slow, at_s: 1, for_s: 2, share: 0.5}\n"
+        "  - {trouble: odd, at_s: 1, for_s: 2, share: 1.5}\n"
+    )
+    with pytest.raises(exceptions.InvalidSettings) as caught:
+        scenarios.load(text)
+    places = [finding.place for finding in caught.value.findings]
+    assert places == [
+        "line 6, field faults.1.trouble",
+        "line 6, field faults.1.share",
+    ]
+
+
+def test_a_play_repeats_with_its_seed():
+    scenario = scenarios.load(SHORT)
+    variant = scenario.variants[0]
+    first = experiments.play(scenario, variant, 3)
+    assert first == experiments.play(scenario, variant, 3)
+    assert first != experiments.play(scenario, variant, 4)
+
+
+def test_every_request_ends_once():
+    scenario = scenarios.load(
+        SHORT + "rate: 150\nfaults:\n"
+        "  - {trouble: down, at_s: 1, for_s: 2, share: 0.3}\n"
+        "  - {trouble: failing, at_s: 3, for_s: 2, share: 0.3, severity: 0.5}\n"
+    )
+    result = experiments.play(scenario, scenario.variants[0], 1)
+    ended = result.in_time + result.late + result.refused + result.failed
+    assert ended == pytest.approx(1.0)
+
+
+def test_constants_are_those_of_the_variant_and_then_the_former_ones():
+    former = placement.TEACH_LOAD
+    with policies.override_constants({"placement.TEACH_LOAD": 9.0}):
+        assert placement.TEACH_LOAD == 9.0
+    assert former == placement.TEACH_LOAD
+
+
+@pytest.mark.parametrize("path", ["placement.ODD", "odd.NAME", "NAME"])
+def test_unknown_constants_are_findings(path):
+    overriding = policies.override_constants({path: 1.0})
+    with pytest.raises(exceptions.InvalidSettings), overriding:
+        pass
+
+
+def test_the_order_of_policies_is_that_of_played_days():
+    # On the first calm days owners without a queue limit came out behind
+    # ours, and spreading by load alone far behind both.
+    scenario = scenarios.load((EXAMPLES / "few-warm-servers.yaml").read_text())
+    in_time = {
+        variant.name: experiments.play(scenario, variant, 1).in_time
+        for variant in scenario.variants
+    }
+    ranked = sorted(in_time, key=in_time.get, reverse=True)
+    assert ranked == ["steering", "owner only", "least loaded", "random"]
+
+
+def test_the_command_prints_a_table_and_draws_a_plot(tmp_path, capsys):
+    path = tmp_path / "short.yaml"
+    path.write_text(SHORT)
+    plot = tmp_path / "short.png"
+    arguments = ["lab", str(path), "--seeds=2", f"--plot={plot}"]
+    assert lab.main(arguments) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert lines[0] == "short, 2 seeds"
+    assert lines[2].startswith("steering")
+    assert plot.read_bytes().startswith(b"\x89PNG")
+
+
+def test_the_command_tells_what_is_wrong_with_a_file(tmp_path, capsys):
+    path = tmp_path / "bad.yaml"
+    path.write_text("name: bad\nhosts: none\n")
+    assert lab.main(["lab", str(path)]) == lab.EXIT_FAILED
+    assert "line 2, field hosts" in capsys.readouterr().err
