Eject servers by what all hosts saw together

Change: beats carry attempts and bad ones per suspected server; an attempt is bad when it fails or takes over twice what was expected, also while it hangs.

--- a/src/banyanshed/explanations.py
+++ b/src/banyanshed/explanations.py
@@ -19,6 +19,8 @@
         "server_ejected",
         "server_gone",
         "server_known",
+        "server_readmitted",
+        "server_unreachable",
         "started",
         "stopping",
         "stopped",
--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -160,6 +160,7 @@
             plan.expires_at - now,
         )
         choice = self.placing.choose(demand, now)
+        self._log_ejections()
         if isinstance(choice, placement.Rejection):
             progress.reason = progress.reason or choice.reason
             progress.retry_after_s = choice.retry_after_s
@@ -170,6 +171,19 @@
             return None
         return choice
 
+    def _log_ejections(self) -> None:
+        for change in self.health.outliers.take_changes():
+            if change.ejected:
+                self.kept.drop(change.server)
+            logs.log_belief(
+                "server_ejected" if change.ejected else "server_readmitted",
+                server=change.server,
+                attempts=change.attempts,
+                bad=change.bad,
+                mean_share=change.mean_share,
+                peers=change.hosts,
+            )
+
     async def _attempt(
         self, progress: Progress, plan: routing.Plan, choice: placement.Choice
     ) -> messages.Response | None:
@@ -177,7 +191,7 @@
         entry = choice.server.registration
         progress.tried.append(entry.id)
         started_at = self.loop.time()
-        number = self.health.start(entry.id, started_at)
+        number = self.health.start(entry.id, started_at, choice.expected_s)
         outcome = health.Outcome.ABANDONED
         try:
             connection = await self.kept.acquire(
@@ -205,7 +219,7 @@
             outcome = health.Outcome.FAILURE
             progress.reason = str(error)
         except TimeoutError:
-            outcome = health.Outcome.FAILURE
+            outcome = health.Outcome.TIMED_OUT
             progress.reason = "timeout"
         finally:
             self._note_outcome(plan, entry, number, outcome)
@@ -277,14 +291,14 @@
         number: int,
         outcome: health.Outcome,
     ) -> None:
-        ejected = self.health.finish(
+        avoided = self.health.finish(
             server.id, plan.service, number, outcome, self.loop.time()
         )
         self.counters.count_attempt(plan.service, outcome)
-        if ejected:
+        if avoided:
             self.kept.drop(server.id)
             logs.log_belief(
-                "server_ejected",
+                "server_unreachable",
                 server=server.id,
                 service=plan.service,
                 outcome=outcome.value,
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -21,6 +21,7 @@
 from banyanshed.platform import wire
 from banyanshed.steering import members
 from banyanshed.steering import models
+from banyanshed.steering import outliers
 from banyanshed.steering import placement
 from banyanshed.steering import quotas as quotas_lib
 from banyanshed.steering import warmth
@@ -38,6 +39,8 @@
 COPY_TIMEOUT_S = 2.0
 CONTACTS_PER_DATAGRAM = 20
 RATE_SCALE = 10.0
+ATTEMPTS_SCALE = 10.0
+NOT_PASSED = -1
 
 
 class HostForm(msgspec.Struct, array_like=True, frozen=True):
@@ -64,6 +67,19 @@
     at_work: int
 
 
+class EvidenceForm(msgspec.Struct, array_like=True, frozen=True):
+    """A host's evidence on a suspected server, which is told by a hash.
+
+    Attempts are in tenths; the time since a passed trial is in milliseconds,
+    -1 when there was none lately.
+    """
+
+    server: int
+    attempts: int
+    bad: int
+    passed_ms: int
+
+
 class Beat(msgspec.Struct, array_like=True, tag="b", frozen=True):
     """A host's word of itself."""
 
@@ -74,6 +90,7 @@
     usages: list[UsageForm]
     work: list[WorkForm]
     warm: list[int]
+    evidence: list[EvidenceForm]
 
 
 class Contacts(msgspec.Struct, array_like=True, tag="c", frozen=True):
@@ -181,7 +198,7 @@
             return
         self.near_at = now
         pairs = self.placing.warmth.take_untold(warmth.Audience.NEAR)
-        self._send(self._make_beat([], self._make_work(), pairs), near)
+        self._send(self._make_beat([], pairs), near)
         self.placing.was_busy = False
 
     def send_beat(self) -> None:
@@ -191,7 +208,7 @@
         self.near_at = now
         self.placing.was_busy = False
         pairs = self.placing.warmth.take_untold(warmth.Audience.ALL)
-        beat = self._make_beat(self._make_usages(now), self._make_work(), pairs)
+        beat = self._make_beat(self._make_usages(now), pairs)
         self._send(beat, self.fleet.contacts(now))
         if len(self.fleet.peers) >= len(self.seeds):
             return
@@ -223,17 +240,16 @@
         body = _ENCODER.encode(TableForm(mirror.version, rows))
         return messages.Response(200, (), body)
 
-    def _make_beat(
-        self, usages: list[UsageForm], work: list[WorkForm], warm: list[int]
-    ) -> Beat:
+    def _make_beat(self, usages: list[UsageForm], warm: list[int]) -> Beat:
         return Beat(
             _host_form(self.fleet.own),
             self.fleet.own_state,
             self.mirrors[wire.OPERATOR_TABLE].changed_version,
             self.mirrors[wire.SERVER_TABLE].changed_version,
             usages,
-            work,
+            self._make_work(),
             warm,
+            self._make_evidence(),
         )
 
     def _make_usages(self, now: float) -> list[UsageForm]:
@@ -253,13 +269,33 @@
             for server, count in at_work.items()
         ]
 
-    def _take_work(self, host: models.HostId, forms: list[WorkForm]) -> None:
+    def _make_evidence(self) -> list[EvidenceForm]:
+        forms = []
+        report = self.placing.health.outliers.report(self.loop.time())
+        for server, evidence in report.items():
+            passed_ms = NOT_PASSED
+            if evidence.passed_s is not None:
+                passed_ms = round(evidence.passed_s * 1000.0)
+            forms.append(
+                EvidenceForm(
+                    hash_server(server),
+                    round(evidence.attempts * ATTEMPTS_SCALE),
+                    round(evidence.bad * ATTEMPTS_SCALE),
+                    passed_ms,
+                )
+            )
+        return forms
+
+    def _update_hashes(self) -> None:
         view = self.applier.view
-        if self.hashes_version != view.servers_version:
-            self.hashes_version = view.servers_version
-            self.servers_by_hash = {
-                hash_server(server): server for server in view.servers
-            }
+        if self.hashes_version == view.servers_version:
+            return
+        self.hashes_version = view.servers_version
+        self.servers_by_hash = {
+            hash_server(server): server for server in view.servers
+        }
+
+    def _take_work(self, host: models.HostId, forms: list[WorkForm]) -> None:
         work = {}
         for form in forms:
             server = self.servers_by_hash.get(form.server)
@@ -267,6 +303,24 @@
                 work[server] = form.at_work
         self.placing.set_peer_work(host, work)
 
+    def _take_evidence(
+        self, host: models.HostId, forms: list[EvidenceForm], now: float
+    ) -> None:
+        report = {}
+        for form in forms:
+            server = self.servers_by_hash.get(form.server)
+            if server is None:
+                continue
+            passed_s = None
+            if form.passed_ms != NOT_PASSED:
+                passed_s = form.passed_ms / 1000.0
+            report[server] = outliers.Evidence(
+                form.attempts / ATTEMPTS_SCALE,
+                form.bad / ATTEMPTS_SCALE,
+                passed_s,
+            )
+        self.placing.health.outliers.take_report(host, report, now)
+
     def _take_beat(self, beat: Beat, now: float) -> None:
         host = _host(beat.host)
         known = self.fleet.peers.get(host.id)
@@ -282,7 +336,9 @@
         if is_new or never_heard:
             self.quotas.drop_peer(host.id)
             self._greet(host, now)
+        self._update_hashes()
         self._take_work(host.id, beat.work)
+        self._take_evidence(host.id, beat.evidence, now)
         self.placing.warmth.learn(beat.warm, now)
         configuration = self.applier.view.configuration
         if configuration is None:
@@ -302,7 +358,7 @@
         if self.transport is None:
             return
         address = (host.ip, self.port)
-        greeting = self._make_beat([], [], [])
+        greeting = self._make_beat([], [])
         self.transport.sendto(_ENCODER.encode(greeting), address)
         if not self._is_seed():
             return
@@ -329,6 +385,7 @@
             member = self.fleet.peers.get(id_)
             state = member.state.value if member is not None else "forgotten"
             self.placing.drop_peer(id_)
+            self.placing.health.outliers.drop_peer(id_)
             logs.log_belief("peer_lost", peer=id_, state=state)
         self.live = live
         for id_ in self.fleet.drop_old(now):
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -33,6 +33,7 @@
 from banyanshed.steering import health
 from banyanshed.steering import members
 from banyanshed.steering import models
+from banyanshed.steering import outliers
 from banyanshed.steering import placement
 from banyanshed.steering import quotas
 from banyanshed.steering import routing
@@ -75,7 +76,11 @@
         self.counters = metrics.Metrics()
         self.fleet = members.Members(own, settings.zones)
         self.view = views.View(settings.zones)
-        self.health = health.Health()
+        self.health = health.Health(
+            outliers.Outliers(
+                settings.host, lambda: self.fleet.live_ids(clock())
+            )
+        )
         self.quotas = quotas.Quotas()
         cold_rates = cold.ColdRates(
             settings.host, self.view, lambda: self.fleet.live_ids(clock())
--- a/src/banyanshed/lab/model.py
+++ b/src/banyanshed/lab/model.py
@@ -18,6 +18,7 @@
 from banyanshed.steering import cold
 from banyanshed.steering import health
 from banyanshed.steering import models
+from banyanshed.steering import outliers
 from banyanshed.steering import placement
 from banyanshed.steering import views
 from banyanshed.steering import warmth
@@ -37,14 +38,14 @@
     def __init__(
         self,
         number: int,
-        scenario: scenarios.Scenario,
         variant: scenarios.Variant,
         entries: list[models.Registration],
         route: models.Route,
+        hosts: list[models.HostId],
         seed: int,
     ):
         """Knows all servers from the start."""
-        self.id = models.HostId(f"h{number}")
+        self.id = make_host_id(number)
         regions = sorted(set(ZONES.values()))
         self.region = regions[number % len(regions)]
         view = views.View(dict(ZONES))
@@ -58,8 +59,8 @@
         self.placing = placement.Placement(
             self.region,
             view,
-            health.Health(),
-            cold.ColdRates(self.id, view, lambda: [self.id]),
+            health.Health(outliers.Outliers(self.id, lambda: hosts)),
+            cold.ColdRates(self.id, view, lambda: hosts),
             warmth.Warmth(),
             rng.random,
         )
@@ -102,8 +103,9 @@
             entry.id: servers_lib.Server(scenario, self.rng)
             for entry in entries
         }
+        ids = [make_host_id(number) for number in range(scenario.hosts)]
         self.hosts = [
-            Host(number, scenario, variant, entries, self.route, seed)
+            Host(number, variant, entries, self.route, ids, seed)
             for number in range(scenario.hosts)
         ]
         self.events: list[tuple[float, int, Callable[..., None], Any]] = []
@@ -170,11 +172,12 @@
         placing = sender.placing
         work = dict(placing.health.at_work())
         pairs = placing.warmth.take_untold(warmth.Audience.ALL)
+        evidence = placing.health.outliers.report(now)
         for host in self.hosts:
             if host is sender or self.rng.random() < self.scenario.beat_lost:
                 continue
             at = now + self.scenario.beat_delay_s
-            self._at(at, self._hear, host, sender, work, pairs)
+            self._at(at, self._hear, host, sender, work, pairs, evidence)
         if now < self.scenario.length_s:
             self._at(now + self.scenario.beat_s, self._beat, sender)
 
@@ -185,9 +188,11 @@
         sender: Host,
         work: dict[models.ServerId, int],
         pairs: list[int],
+        evidence: dict[models.ServerId, outliers.Evidence],
     ) -> None:
         host.placing.set_peer_work(sender.id, work)
         host.placing.warmth.learn(pairs, now)
+        host.placing.health.outliers.take_report(sender.id, evidence, now)
 
     def _ask(self, now: float, request: requests.Request) -> None:
         request.tries += 1
@@ -216,7 +221,7 @@
             return
         name = choice.server.registration.id
         request.tried.append(name)
-        number = host.placing.health.start(name, now)
+        number = host.placing.health.start(name, now, choice.expected_s)
         self._accept(now, requests.Attempt(request, choice, number, now))
 
     def _reject(
@@ -252,7 +257,7 @@
             return
         server.queue.remove(attempt)
         self.cut[int(attempt.request.at)] += 1
-        self._end(now, attempt, health.Outcome.FAILURE)
+        self._end(now, attempt, health.Outcome.TIMED_OUT)
 
     def _run(
         self, now: float, attempt: requests.Attempt, server: servers_lib.Server
@@ -295,6 +300,11 @@
         return self.servers[attempt.choice.server.registration.id]
 
 
+def make_host_id(number: int) -> models.HostId:
+    """Returns the id of a host of the model."""
+    return models.HostId(f"h{number}")
+
+
 def _make_entries(
     scenario: scenarios.Scenario,
 ) -> list[models.Registration]:
--- a/src/banyanshed/lab/servers.py
+++ b/src/banyanshed/lab/servers.py
@@ -31,7 +31,7 @@
         self.running += 1
         ends_at = now + self._work_s(attempt.request.object_key)
         if ends_at >= attempt.request.expires_at:
-            attempt.outcome = health.Outcome.FAILURE
+            attempt.outcome = health.Outcome.TIMED_OUT
             return attempt.request.expires_at
         if self._fails():
             attempt.outcome = health.Outcome.FAILURE
--- a/src/banyanshed/steering/cold.py
+++ b/src/banyanshed/steering/cold.py
@@ -6,9 +6,8 @@
 
 from collections.abc import Callable, Sequence
 
-import xxhash
-
 from banyanshed.steering import models
+from banyanshed.steering import ranks
 from banyanshed.steering import views
 
 MAX_SENDERS = 4
@@ -39,7 +38,9 @@
         if service is None or service.cold_rate <= 0.0:
             return False
         senders = max(1, min(MAX_SENDERS, int(service.cold_rate / 2.0)))
-        if not self._is_sender(entry.id, senders):
+        if not ranks.is_among_first(
+            entry.id, self.host, self.live_hosts(), senders
+        ):
             return False
         tokens, at = self.buckets.get(entry.id, (1.0, now))
         tokens = min(1.0, tokens + (now - at) * service.cold_rate / senders)
@@ -48,18 +49,3 @@
             return False
         self.buckets[entry.id] = (tokens - 1.0, now)
         return True
-
-    def _is_sender(self, server: models.ServerId, senders: int) -> bool:
-        own = _rank(server, self.host)
-        ahead = 0
-        for host in self.live_hosts():
-            if host == self.host:
-                continue
-            if _rank(server, host) < own:
-                ahead += 1
-        return ahead < senders
-
-
-def _rank(server: models.ServerId, host: models.HostId) -> int:
-    """Returns the place of a host in a server's rendezvous order."""
-    return xxhash.xxh3_64_intdigest(f"{server}\0{host}".encode())
--- a/src/banyanshed/steering/health.py
+++ b/src/banyanshed/steering/health.py
@@ -1,23 +1,21 @@
-"""Passive health of backend servers: ejects those that fail or fall silent.
+"""Passive health of backend servers: what attempts tell of each.
 
-Requests are the only probes. A server is ejected after failed connections,
-when it fails many of its requests, or while its oldest request waits far
-longer than requests of its service take. After an ejection it gets one
-request at a time until one succeeds.
+Requests are the only probes. This host alone avoids a server after failed
+connections, and while its oldest request there waits far longer than requests
+of its service take. What all hosts see together ejects servers that fail or
+are slow (`outliers`).
 """
 
 import dataclasses
 import enum
 
 from banyanshed.steering import models
+from banyanshed.steering import outliers as outliers_lib
 
 CONNECT_EJECTION_S = 0.5
-FAILURE_EJECTION_S = 2.0
 MAX_EJECTION_S = 4.0
-FAILURE_SHARE = 0.3
-MIN_OUTCOMES = 6.0
-# Weight that the former outcomes keep with each new one.
-OUTCOME_DECAY = 0.9
+# An attempt that takes this many times what was expected is bad.
+SLOW_FACTOR = 2.0
 STALL_FACTOR = 3.0
 MIN_STALL_S = 0.7
 LATENCY_WEIGHT = 0.05
@@ -32,48 +30,81 @@
     UNREACHABLE = "unreachable"
     CONNECT_TIMEOUT = "connect_timeout"
     ABANDONED = "abandoned"
+    TIMED_OUT = "timed_out"
 
 
 _CONNECT_FAILURES = frozenset({Outcome.UNREACHABLE, Outcome.CONNECT_TIMEOUT})
+_UNANSWERED = frozenset({Outcome.ABANDONED, Outcome.TIMED_OUT})
+
+
+@dataclasses.dataclass(slots=True)
+class InFlight:
+    """An attempt at work.
+
+    Attributes:
+        started_at: When it was sent.
+        slow_at: When it takes far longer than expected; None when it waits
+            in a queue, so that its time tells nothing of the server.
+        is_noted: It was counted as bad.
+    """
+
+    started_at: float
+    slow_at: float | None
+    is_noted: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class Record:
-    """What is remembered of one server.
+    """What this host remembers of one server.
 
     Attributes:
-        outcomes: Decayed number of attempts that ended.
-        failures: Decayed number of those that failed.
         connect_failures: Failed connections in a row.
-        ejected_until: End of its ejection.
-        on_trial: It was ejected and has not succeeded since.
-        in_flight: Start times of the attempts at work, oldest first.
+        avoided_until: It gets no requests until then.
+        on_trial: Its last connection failed.
+        in_flight: The attempts at work, oldest first.
         answered_at: When it last answered.
     """
 
-    outcomes: float = 0.0
-    failures: float = 0.0
     connect_failures: int = 0
-    ejected_until: float = 0.0
+    avoided_until: float = 0.0
     on_trial: bool = False
-    in_flight: dict[int, float] = dataclasses.field(default_factory=dict)
+    in_flight: dict[int, InFlight] = dataclasses.field(default_factory=dict)
     answered_at: float = float("-inf")
 
 
 class Health:
     """Health of all backend servers as seen by one host."""
 
-    def __init__(self) -> None:
+    def __init__(self, outliers: outliers_lib.Outliers) -> None:
         """Starts with no knowledge: every server counts as healthy."""
+        self.outliers = outliers
         self.records: dict[models.ServerId, Record] = {}
         self.latency_s: dict[models.ServiceName, float] = {}
         self.next_attempt = 0
 
-    def start(self, server: models.ServerId, now: float) -> int:
-        """Notes that an attempt starts; returns its number."""
+    def start(
+        self,
+        server: models.ServerId,
+        now: float,
+        expected_s: float | None = None,
+    ) -> int:
+        """Notes that an attempt starts.
+
+        Args:
+            server: Where it is sent.
+            now: Current time.
+            expected_s: Expected time to the answer; None when that depends
+                on requests ahead of it.
+
+        Returns:
+            The attempt's number.
+        """
         record = self.records.setdefault(server, Record())
         self.next_attempt += 1
-        record.in_flight[self.next_attempt] = now
+        slow_at = None
+        if expected_s is not None:
+            slow_at = now + max(MIN_STALL_S, SLOW_FACTOR * expected_s)
+        record.in_flight[self.next_attempt] = InFlight(now, slow_at)
         return self.next_attempt
 
     def finish(
@@ -84,38 +115,29 @@
         outcome: Outcome,
         now: float,
     ) -> bool:
-        """Notes how an attempt ended; true when the server is ejected now."""
+        """Notes how an attempt ended; true when it can't be connected to."""
         record = self.records.setdefault(server, Record())
-        started = record.in_flight.pop(attempt, now)
-        if outcome is Outcome.ABANDONED:
-            return False
+        started = record.in_flight.pop(attempt, InFlight(now, None))
         if outcome in _CONNECT_FAILURES:
-            record.connect_failures += 1
-            # A single lost packet is no sign of a dead server.
-            is_first = record.connect_failures < 2 and not record.on_trial
-            if outcome is Outcome.CONNECT_TIMEOUT and is_first:
-                return False
-            steps = min(record.connect_failures - 1, 3)
-            self._eject(record, now, CONNECT_EJECTION_S * 2**steps)
-            return True
+            return self._note_connect_failure(record, outcome, now)
+        self._note_evidence(server, started, outcome, now)
+        if outcome in _UNANSWERED:
+            return False
         record.connect_failures = 0
         record.answered_at = now
-        record.outcomes = record.outcomes * OUTCOME_DECAY + 1.0
-        record.failures *= OUTCOME_DECAY
         if outcome is Outcome.SUCCESS:
             record.on_trial = False
-            self._note_latency(service, now - started)
-            return False
-        record.failures += 1.0
-        if record.on_trial:
-            self._eject(record, now, FAILURE_EJECTION_S)
-            return True
-        if record.outcomes < MIN_OUTCOMES:
-            return False
-        if record.failures < FAILURE_SHARE * record.outcomes:
-            return False
-        self._eject(record, now, FAILURE_EJECTION_S)
-        return True
+            self._note_latency(service, now - started.started_at)
+        return False
+
+    def note_slow(self, now: float) -> None:
+        """Counts the attempts at work that take far too long."""
+        for server, record in self.records.items():
+            for attempt in record.in_flight.values():
+                if attempt.is_noted or not _is_slow(attempt, now):
+                    continue
+                attempt.is_noted = True
+                self.outliers.note(server, True, now)
 
     def is_usable(
         self,
@@ -125,9 +147,12 @@
     ) -> bool:
         """Whether a server may get another request."""
         record = self.records.get(server)
+        in_flight = len(record.in_flight) if record is not None else 0
+        if not self.outliers.is_usable(server, in_flight, now):
+            return False
         if record is None:
             return True
-        if now < record.ejected_until:
+        if now < record.avoided_until:
             return False
         if record.on_trial and record.in_flight:
             return False
@@ -148,6 +173,7 @@
 
     def forget(self, server: models.ServerId) -> None:
         """Drops what is known of a server that is gone or started anew."""
+        self.outliers.forget(server)
         record = self.records.get(server)
         if record is None:
             return
@@ -161,20 +187,48 @@
     ) -> bool:
         if not record.in_flight:
             return False
-        oldest = next(iter(record.in_flight.values()))
+        oldest = next(iter(record.in_flight.values())).started_at
         if record.answered_at >= oldest:
             return False
         usual_s = self.latency_s.get(service, 0.0)
         return now - oldest > max(MIN_STALL_S, STALL_FACTOR * usual_s)
 
-    def _eject(self, record: Record, now: float, for_s: float) -> None:
-        record.ejected_until = now + min(MAX_EJECTION_S, for_s)
+    def _note_connect_failure(
+        self, record: Record, outcome: Outcome, now: float
+    ) -> bool:
+        record.connect_failures += 1
+        # A single lost packet is no sign of a dead server.
+        is_first = record.connect_failures < 2 and not record.on_trial
+        if outcome is Outcome.CONNECT_TIMEOUT and is_first:
+            return False
+        steps = min(record.connect_failures - 1, 3)
+        for_s = min(MAX_EJECTION_S, CONNECT_EJECTION_S * 2**steps)
+        record.avoided_until = now + for_s
         record.on_trial = True
-        record.outcomes = 0.0
-        record.failures = 0.0
+        return True
+
+    def _note_evidence(
+        self,
+        server: models.ServerId,
+        attempt: InFlight,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        """Counts an attempt unless it tells nothing of the server's health."""
+        if attempt.is_noted or outcome is Outcome.REJECTED:
+            return
+        slow = _is_slow(attempt, now)
+        if outcome in _UNANSWERED and not slow:
+            return
+        bad = slow or outcome is Outcome.FAILURE
+        self.outliers.note(server, bad, now)
 
     def _note_latency(
         self, service: models.ServiceName, latency_s: float
     ) -> None:
         known = self.latency_s.get(service, latency_s)
         self.latency_s[service] = known + LATENCY_WEIGHT * (latency_s - known)
+
+
+def _is_slow(attempt: InFlight, now: float) -> bool:
+    return attempt.slow_at is not None and now >= attempt.slow_at
--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -104,6 +104,11 @@
     load: float
     finish_s: float
 
+    @property
+    def expected_s(self) -> float | None:
+        """Expected time to the answer, with the queue ahead."""
+        return self.finish_s
+
 
 class Placement:
     """Chooses backend servers for the requests of one host."""
@@ -153,6 +158,7 @@
 
     def choose(self, demand: Demand, now: float) -> Choice | Rejection:
         """Returns the server for a request, or why there is none."""
+        self._review_health(now)
         candidates, cold_servers = self._find_candidates(demand, now)
         chosen = self._compare(candidates, demand.route.objective_s)
         share = FINISH_SHARE * (1.0 - PRIORITY_STEP * min(demand.priority, 5))
@@ -179,6 +185,10 @@
         )
         return Rejection("overloaded", wait_s, inputs)
 
+    def _review_health(self, now: float) -> None:
+        self.health.note_slow(now)
+        self.health.outliers.review(self.view.by_service, now)
+
     def _find_candidates(
         self, demand: Demand, now: float
     ) -> tuple[list[Choice], list[views.Server]]:
--- a/tests/steering_cases.py
+++ b/tests/steering_cases.py
@@ -3,6 +3,7 @@
 from banyanshed.steering import cold
 from banyanshed.steering import health
 from banyanshed.steering import models
+from banyanshed.steering import outliers
 from banyanshed.steering import placement
 from banyanshed.steering import views
 from banyanshed.steering import warmth
@@ -49,7 +50,7 @@
     return placement.Placement(
         region,
         view,
-        health.Health(),
+        health.Health(outliers.Outliers(own, lambda: hosts)),
         cold_rates,
         warmth.Warmth(),
         lambda: 0.5,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 from banyanshed.steering import health
 from banyanshed.steering import models
+from banyanshed.steering import outliers
 from banyanshed.steering import placement
 from banyanshed.steering import warmth
 from tests import steering_cases as cases
@@ -242,7 +243,7 @@
 
 
 def test_a_single_lost_packet_does_not_eject():
-    checker = health.Health()
+    checker = health.Health(outliers.Outliers("h1", lambda: ["h1"]))
     number = checker.start("i", 0.0)
     timeout = health.Outcome.CONNECT_TIMEOUT
     assert not checker.finish("i", "s", number, timeout, 0.5)
@@ -252,7 +253,7 @@
 
 
 def test_a_silent_server_gets_no_more_requests():
-    checker = health.Health()
+    checker = health.Health(outliers.Outliers("h1", lambda: ["h1"]))
     number = checker.start("i", 0.0)
     assert checker.is_usable("i", "s", 0.5)
     assert not checker.is_usable("i", "s", 2.0)
