Tell other regions through relays in large fleets

Ruled out: a sparser full mesh: it stays quadratic, and counters and work would be as much older as it is sparser. Change: above 32 hosts a host tells only its region; the first two hosts of a rendezvous order in each region tell their partners in other regions, once a second, the sums of their region: live hosts, customers' counters, requests at work, warm pairs, evidence. Partners pass it on to their region. Counters of one relay a region count at a time. Customers' buckets are charged for peers when a request asks, not 20 times a second for each customer and peer.

--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -17,6 +17,7 @@
 
 from banyanshed import exceptions
 from banyanshed.gateway import clients
+from banyanshed.gateway import copies
 from banyanshed.gateway import feeds
 from banyanshed.gateway import forwarding
 from banyanshed.gateway import gossip as gossip_lib
@@ -123,6 +124,9 @@
             settings.peer_port,
             settings.seeds,
         )
+        self.copies = copies.TableCopies(
+            self.fleet, self.applier, self.mirrors, settings.peer_port
+        )
         self.stopping = asyncio.Event()
         self.reload_asked = asyncio.Event()
 
@@ -146,7 +150,7 @@
         self.loop.add_signal_handler(signal.SIGHUP, self.reload_asked.set)
         peers = (settings.ip, settings.peer_port)
         await gossip_lib.open_gossip(self.gossip, *peers, stack)
-        await self._listen(peers, self.gossip.serve, stack)
+        await self._listen(peers, self.copies.serve, stack)
         await self._listen(settings.directory, self._serve_directory, stack)
         await self._listen(settings.readiness, self._serve_readiness, stack)
         metrics_address = (settings.ip, self.metrics_port)
@@ -159,6 +163,7 @@
         for mirror in self.mirrors.values():
             feed = feeds.Feed(mirror, self.store, self.applier, self.counters)
             self._spawn(feed.run(), stack)
+        self._spawn(self.copies.run(), stack)
         self._spawn(self._announce(), stack)
         self._spawn(self._keep_house(), stack)
         self._spawn(self._follow_settings(), stack)
--- a/src/banyanshed/steering/members.py
+++ b/src/banyanshed/steering/members.py
@@ -1,5 +1,6 @@
 """Which hosts are alive, and which of them callers are sent to."""
 
+from collections.abc import Iterable
 import dataclasses
 import enum
 
@@ -58,6 +59,11 @@
     op_version: int = 0
     servers_version: int = 0
 
+    def note_versions(self, op_version: int, servers_version: int) -> None:
+        """Takes versions that it told; words may arrive out of order."""
+        self.op_version = max(self.op_version, op_version)
+        self.servers_version = max(self.servers_version, servers_version)
+
 
 class Members:
     """All hosts as one of them knows them."""
@@ -71,6 +77,7 @@
         self.own = own
         self.own_state = HostState.STARTING
         self.zones = zones
+        self.own_region = zones.get(own.zone, models.RegionName(""))
         self.peers: dict[models.HostId, Member] = {}
 
     def learn(self, host: Host, now: float) -> bool:
@@ -107,6 +114,25 @@
                 found.append(member)
         return found
 
+    def near(self, now: float) -> list[Member]:
+        """Returns the live peers of this host's region."""
+        return [m for m in self.live(now) if self.is_near(m)]
+
+    def is_near(self, member: Member) -> bool:
+        """Whether a peer is in this host's region."""
+        return self.zones.get(member.host.zone) == self.own_region
+
+    def by_region(
+        self, known: Iterable[Member]
+    ) -> dict[models.RegionName, list[Member]]:
+        """Returns peers by region; those of unknown zones are left out."""
+        regions: dict[models.RegionName, list[Member]] = {}
+        for member in known:
+            region = self.zones.get(member.host.zone)
+            if region is not None:
+                regions.setdefault(region, []).append(member)
+        return regions
+
     def live_ids(self, now: float) -> list[models.HostId]:
         """Returns the ids of the live hosts, this one among them."""
         ids = [member.host.id for member in self.live(now)]
--- a/src/banyanshed/steering/outliers.py
+++ b/src/banyanshed/steering/outliers.py
@@ -11,7 +11,7 @@
 time from few hosts; the first that succeeds brings it back on all hosts.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 import dataclasses
 
 from banyanshed.steering import models
@@ -34,6 +34,8 @@
 # those of one host.
 TRIAL_HOSTS = 2
 TRIAL_INTERVAL_S = 1.0
+# Fewer attempts are not told.
+MIN_TOLD_ATTEMPTS = 0.1
 # How long a passed trial is told to peers.
 PASSED_TOLD_S = 5.0
 REVIEW_INTERVAL_S = 0.1
@@ -83,11 +85,13 @@
         attempts: Attempts.
         bad: Bad ones.
         at: Time for which the counters hold.
+        passed_at: When the host that counted had a trial succeed, if lately.
     """
 
     attempts: float
     bad: float
     at: float
+    passed_at: float | None = None
 
     def decayed(self, now: float) -> tuple[float, float]:
         """Returns attempts and bad ones as they count now."""
@@ -165,11 +169,12 @@
         """Takes all that a peer tells, in place of what it told before."""
         self.drop_peer(host)
         for server, evidence in report.items():
+            passed_at = None
             if evidence.passed_s is not None:
-                self._take_pass(server, now - evidence.passed_s)
-            if evidence.attempts > 0.0:
-                tally = Tally(evidence.attempts, evidence.bad, now)
-                self.peers.setdefault(server, {})[host] = tally
+                passed_at = now - evidence.passed_s
+                self._take_pass(server, passed_at)
+            tally = Tally(evidence.attempts, evidence.bad, now, passed_at)
+            self.peers.setdefault(server, {})[host] = tally
 
     def drop_peer(self, host: models.HostId) -> None:
         """Forgets what a peer told."""
@@ -189,21 +194,52 @@
 
     def report(self, now: float) -> dict[models.ServerId, Evidence]:
         """Returns what peers should know: evidence on suspected servers."""
+        return self.sum_up(frozenset(), now)
+
+    def sum_up(
+        self, hosts: Collection[models.HostId], now: float
+    ) -> dict[models.ServerId, Evidence]:
+        """Returns the evidence of this host and some peers together."""
+        known = dict.fromkeys([*self.tallies, *self.peers, *self.own_passed_at])
         report = {}
-        for server, tally in self.tallies.items():
-            attempts, bad = tally.decayed(now)
-            if bad >= MIN_BAD or server in self.peers:
-                report[server] = Evidence(attempts, bad)
-        for server, passed_at in list(self.own_passed_at.items()):
-            if now - passed_at > PASSED_TOLD_S:
-                del self.own_passed_at[server]
+        for server in known:
+            evidence = self._add_up(server, hosts, now)
+            if evidence.passed_s is not None:
+                report[server] = evidence
                 continue
-            known = report.get(server, Evidence(0.0, 0.0))
-            report[server] = dataclasses.replace(
-                known, passed_s=now - passed_at
-            )
+            is_suspected = evidence.bad >= MIN_BAD or server in self.peers
+            if is_suspected and evidence.attempts >= MIN_TOLD_ATTEMPTS:
+                report[server] = evidence
         return report
 
+    def _add_up(
+        self,
+        server: models.ServerId,
+        hosts: Collection[models.HostId],
+        now: float,
+    ) -> Evidence:
+        attempts, bad = 0.0, 0.0
+        passed_at = self.own_passed_at.get(server, float("-inf"))
+        tallies = [
+            tally
+            for host, tally in self.peers.get(server, {}).items()
+            if host in hosts
+        ]
+        own = self.tallies.get(server)
+        if own is not None:
+            tallies.append(own)
+        for tally in tallies:
+            more, more_bad = tally.decayed(now)
+            attempts += more
+            bad += more_bad
+            if tally.passed_at is not None:
+                passed_at = max(passed_at, tally.passed_at)
+        passed_s = now - passed_at
+        if passed_s > PASSED_TOLD_S:
+            self.own_passed_at.pop(server, None)
+            return Evidence(attempts, bad)
+        return Evidence(attempts, bad, passed_s)
+
     def is_usable(
         self, server: models.ServerId, in_flight: int, now: float
     ) -> bool:
--- a/src/banyanshed/steering/quotas.py
+++ b/src/banyanshed/steering/quotas.py
@@ -7,6 +7,7 @@
 the rate, in proportion to the demand that it sees.
 """
 
+from collections.abc import Iterator, Sequence
 import dataclasses
 
 from banyanshed.steering import models
@@ -17,7 +18,7 @@
 # peers admitted and did not report yet.
 CAPACITY_SHARE = 0.85
 # Part of the rate that is shared while the estimate is overdrawn.
-OVERDRAWN_SHARE = 0.8
+OVERDRAWN_SHARE = 0.78
 # Most that the estimate is overdrawn, in parts of its capacity.
 MAX_OVERDRAFT = 1.5
 # A peer that falls silent is taken to go on at its rate for this long.
@@ -77,6 +78,9 @@
         self.reported_rate = 0.0
         self.reported_at = now
         self.peers: dict[models.HostId, _PeerUsage] = {}
+        self.regions: dict[models.RegionName, _PeerUsage] = {}
+        # Counts of hosts that stopped or started anew.
+        self.retired = 0
 
     @property
     def capacity(self) -> float:
@@ -87,7 +91,7 @@
         """Takes a new rate and burst from a configuration."""
         if rate == self.rate and burst == self.burst:
             return
-        self._refill(now)
+        self.charge_peers(now)
         self.rate = rate
         self.burst = burst
         self.tokens = min(self.tokens, self.capacity)
@@ -96,7 +100,7 @@
     def admit(self, now: float) -> bool:
         """Takes a token for a request, if the customer may have it."""
         self._note_offered(now)
-        self._refill(now)
+        self.charge_peers(now)
         admitted = self.tokens > self.capacity * SHARE_MODE_LEVEL
         if not admitted:
             admitted = self._take_share(now)
@@ -106,40 +110,55 @@
         return admitted
 
     def charge_peers(self, now: float) -> None:
-        """Charges what peers are taken to have admitted until now."""
-        self._refill(now)
-        for peer in self.peers.values():
+        """Refills, and charges what peers are taken to have admitted."""
+        tokens = self.tokens + (now - self.refilled_at) * self.rate
+        self.refilled_at = now
+        for peer in self._all_peers():
             age_s = min(now - peer.at, EXTRAPOLATE_S)
             expected = peer.admitted + peer.rate * max(0.0, age_s)
-            self.tokens -= expected - peer.charged
+            tokens -= expected - peer.charged
             peer.charged = expected
-        self.tokens = min(self.tokens, self.capacity)
-        self.tokens = max(self.tokens, -self.capacity * MAX_OVERDRAFT)
+        tokens = max(tokens, -self.capacity * MAX_OVERDRAFT)
+        self.tokens = min(self.capacity, tokens)
 
     def take_report(
         self, host: models.HostId, usage: Usage, now: float
     ) -> None:
         """Takes a peer's counters; a new peer starts uncharged."""
-        peer = self.peers.get(host)
-        if peer is None or usage.admitted < peer.admitted:
-            self.peers[host] = _PeerUsage(
-                usage.admitted, 0.0, usage.offered_rate, now, usage.admitted
-            )
-            return
-        span_s = now - peer.at
-        if span_s >= MIN_RATE_SPAN_S:
-            rate = (usage.admitted - peer.admitted) / span_s
-            peer.rate += RATE_WEIGHT * (rate - peer.rate)
-        elif usage.admitted > peer.admitted:
-            peer.rate = max(peer.rate, usage.offered_rate)
-        peer.admitted = usage.admitted
-        peer.offered_rate = usage.offered_rate
-        peer.at = now
-        self.charge_peers(now)
+        known = self.peers.get(host)
+        if known is not None and usage.admitted < known.admitted:
+            self.retired += int(known.admitted)
+            known = None
+        self.peers[host] = _update(known, usage, now)
+
+    def take_region_report(
+        self, region: models.RegionName, usage: Usage, now: float
+    ) -> None:
+        """Takes the sums of all hosts of another region."""
+        known = self.regions.get(region)
+        if known is not None and usage.admitted < known.admitted:
+            known = None
+        self.regions[region] = _update(known, usage, now)
 
     def drop_peer(self, host: models.HostId) -> None:
         """Forgets a peer that stopped."""
-        self.peers.pop(host, None)
+        known = self.peers.pop(host, None)
+        if known is not None:
+            self.retired += int(known.admitted)
+
+    def drop_region(self, region: models.RegionName) -> None:
+        """Forgets the sums of a region, as others will count on."""
+        self.regions.pop(region, None)
+
+    def region_report(self, name: models.CustomerName, now: float) -> Usage:
+        """Returns the sums of this host and the peers that report to it."""
+        admitted = self.retired + self.admitted
+        offered_rate = self.offered_rate(now)
+        for peer in self.peers.values():
+            admitted += int(peer.admitted)
+            if now - peer.at < EXTRAPOLATE_S:
+                offered_rate += peer.offered_rate
+        return Usage(name, admitted, offered_rate)
 
     def needs_report(self, hosts: int, now: float) -> bool:
         """Whether peers should hear of this host's requests at once."""
@@ -179,6 +198,10 @@
             f" peers={len(heard)} oldest_report_ms={oldest_s * 1000:.0f}"
         )
 
+    def _all_peers(self) -> Iterator[_PeerUsage]:
+        yield from self.peers.values()
+        yield from self.regions.values()
+
     def _take_share(self, now: float) -> bool:
         rate = self._share_rate(now)
         depth = max(1.0, rate * 0.3)
@@ -193,17 +216,12 @@
     def _share_rate(self, now: float) -> float:
         own = max(0.05, self.offered_rate(now))
         total = own
-        for peer in self.peers.values():
+        for peer in self._all_peers():
             if now - peer.at < EXTRAPOLATE_S:
                 total += peer.offered_rate
         rate = self.rate if self.tokens >= 0 else self.rate * OVERDRAWN_SHARE
         return rate * own / total
 
-    def _refill(self, now: float) -> None:
-        tokens = self.tokens + (now - self.refilled_at) * self.rate
-        self.tokens = min(self.capacity, tokens)
-        self.refilled_at = now
-
     def _note_offered(self, now: float) -> None:
         self.offered = self._decayed_offered(now) + 1.0
         self.offered_at = now
@@ -215,6 +233,24 @@
         return self.offered * left * left
 
 
+def _update(known: _PeerUsage | None, usage: Usage, now: float) -> _PeerUsage:
+    """Returns what is known of a peer after a report."""
+    if known is None:
+        return _PeerUsage(
+            usage.admitted, 0.0, usage.offered_rate, now, usage.admitted
+        )
+    span_s = now - known.at
+    if span_s >= MIN_RATE_SPAN_S:
+        rate = (usage.admitted - known.admitted) / span_s
+        known.rate += RATE_WEIGHT * (rate - known.rate)
+    elif usage.admitted > known.admitted:
+        known.rate = max(known.rate, usage.offered_rate)
+    known.admitted = usage.admitted
+    known.offered_rate = usage.offered_rate
+    known.at = now
+    return known
+
+
 class Quotas:
     """The buckets of all customers of one host."""
 
@@ -237,24 +273,54 @@
         found.set_limits(customer.rate, customer.burst, now)
         return found
 
-    def charge_peers(self, now: float) -> None:
-        """Charges all buckets for what peers admitted."""
-        for bucket in self.buckets.values():
-            bucket.charge_peers(now)
-
     def take_reports(
         self,
         host: models.HostId,
-        usages: list[Usage],
+        usages: Sequence[Usage],
         configuration: models.Configuration,
         now: float,
     ) -> None:
         """Takes a peer's counters of all customers that it named."""
         for usage in usages:
-            customer = configuration.customers.get(usage.customer)
-            if customer is None or customer.rate <= 0.0:
-                continue
-            self.bucket(customer, now).take_report(host, usage, now)
+            bucket = self._limited(usage, configuration, now)
+            if bucket is not None:
+                bucket.take_report(host, usage, now)
+
+    def take_region_reports(
+        self,
+        region: models.RegionName,
+        usages: Sequence[Usage],
+        configuration: models.Configuration,
+        now: float,
+    ) -> None:
+        """Takes a region's sums of all customers that were named."""
+        for usage in usages:
+            bucket = self._limited(usage, configuration, now)
+            if bucket is not None:
+                bucket.take_region_report(region, usage, now)
+
+    def drop_region(self, region: models.RegionName) -> None:
+        """Forgets the sums of a region, as others will count on."""
+        for bucket in self.buckets.values():
+            bucket.drop_region(region)
+
+    def region_report(self, now: float) -> list[Usage]:
+        """Returns the sums of this host and the peers that report to it."""
+        usages = []
+        for name, bucket in self.buckets.items():
+            usage = bucket.region_report(name, now)
+            if usage.admitted or usage.offered_rate:
+                usages.append(usage)
+        return usages
+
+    def _limited(
+        self, usage: Usage, configuration: models.Configuration, now: float
+    ) -> CustomerBucket | None:
+        """Returns the bucket that a report is for, if there is a limit."""
+        customer = configuration.customers.get(usage.customer)
+        if customer is None or customer.rate <= 0.0:
+            return None
+        return self.bucket(customer, now)
 
     def drop_peer(self, host: models.HostId) -> None:
         """Forgets the counters of a peer that stopped."""
--- a/src/banyanshed/steering/ranks.py
+++ b/src/banyanshed/steering/ranks.py
@@ -5,6 +5,11 @@
 import xxhash
 
 
+def rank(key: str, member: str) -> int:
+    """Returns the place of a member in the rendezvous order for a key."""
+    return xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode())
+
+
 def is_among_first(
     key: str, own: str, others: Iterable[str], count: int
 ) -> bool:
@@ -16,15 +21,11 @@
         others: All that may be in the order; `own` may be among them.
         count: Number of places.
     """
-    own_rank = _rank(key, own)
+    own_rank = rank(key, own)
     ahead = 0
     for other in others:
         if other == own:
             continue
-        if _rank(key, other) < own_rank:
+        if rank(key, other) < own_rank:
             ahead += 1
     return ahead < count
-
-
-def _rank(key: str, member: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode())
--- /dev/null
+++ b/src/banyanshed/steering/relays.py
@@ -0,0 +1,218 @@
+"""Word between regions in large fleets: few hosts pass it on for the rest.
+
+The load it answers: when every host tells every other of its requests, bytes
+between regions and the work of taking them in grow with the square of the
+fleet. In fleets above `MESH_HOSTS` hosts tell only their own region; in each
+region the first hosts of a rendezvous order, its relays, tell the relays of
+other regions what their region has together, and these tell their own region.
+Each relay's chain is independent of the other's, so that one may fail.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+import dataclasses
+
+import xxhash
+
+from banyanshed.steering import members
+from banyanshed.steering import models
+from banyanshed.steering import outliers
+from banyanshed.steering import placement
+from banyanshed.steering import quotas as quotas_lib
+from banyanshed.steering import ranks
+from banyanshed.steering import warmth
+
+# Fleets up to this size tell each other directly.
+MESH_HOSTS = 32
+# Hosts of a region that pass word on.
+RELAYS = 2
+# A relay that was not heard for this long is replaced as the one whose
+# counters count.
+MAIN_SILENCE_S = 1.6
+# Hosts that were learned of so lately are named to other regions, and so
+# many of the others in turn.
+RECENT_S = 10.0
+MAX_RECENT = 20
+NAMED_IN_TURN = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """What the hosts of a region have together, as one of its relays knows.
+
+    Attributes:
+        relay: Who tells it.
+        op_version: Newest change of the configuration's table there.
+        servers_version: Newest change of the servers' table there.
+        states: States of the region's live hosts, by `hash_host`.
+        named: Identities of some of them.
+        usages: Sums of the customers' counters.
+        work: Requests at work, by server.
+        warm: Pairs of server and object that became warm.
+        evidence: Evidence on suspected servers.
+    """
+
+    relay: members.Host
+    op_version: int
+    servers_version: int
+    states: Mapping[int, members.HostState]
+    named: Sequence[members.Host]
+    usages: Sequence[quotas_lib.Usage]
+    work: Mapping[models.ServerId, int]
+    warm: Sequence[int]
+    evidence: Mapping[models.ServerId, outliers.Evidence]
+
+
+class Relays:
+    """The relays as one host sees them, and what it passes on as one."""
+
+    def __init__(
+        self,
+        fleet: members.Members,
+        quotas: quotas_lib.Quotas,
+        placing: placement.Placement,
+    ):
+        """Takes what the host knows."""
+        self.fleet = fleet
+        self.quotas = quotas
+        self.placing = placing
+        self.main: dict[models.RegionName, tuple[models.HostId, float]] = {}
+        self.turn = 0
+
+    def is_needed(self, now: float) -> bool:
+        """Whether the fleet is too large to tell each other directly."""
+        return len(self.fleet.contacts(now)) >= MESH_HOSTS
+
+    def own_place(self, now: float) -> int | None:
+        """Returns this host's place among its region's relays, if any."""
+        own = self.fleet.own
+        names = [m.host.id for m in self.fleet.near(now)]
+        names.append(own.id)
+        first = _choose(self.fleet.own_region, names)
+        return first.index(own.id) if own.id in first else None
+
+    def partners(self, place: int, now: float) -> list[members.Host]:
+        """Returns the relay of the same place in each other region."""
+        live = self.fleet.by_region(self.fleet.live(now))
+        contacts = self.fleet.by_region(self.fleet.contacts(now))
+        partners = []
+        for region, known in contacts.items():
+            if region == self.fleet.own_region:
+                continue
+            hosts = {m.host.id: m.host for m in live.get(region, known)}
+            first = _choose(region, hosts)
+            partners.append(hosts[first[place % len(first)]])
+        return partners
+
+    def summarize(
+        self, op_version: int, servers_version: int, now: float
+    ) -> Summary:
+        """Returns what the relay tells other regions."""
+        near = self.fleet.near(now)
+        states = {hash_host(m.host): m.state for m in near}
+        states[hash_host(self.fleet.own)] = self.fleet.own_state
+        ids = {member.host.id for member in near}
+        work = dict(self.placing.health.at_work())
+        for id_ in ids:
+            for server, count in self.placing.peer_work.get(id_, {}).items():
+                work[server] = work.get(server, 0) + count
+        return Summary(
+            self.fleet.own,
+            op_version,
+            servers_version,
+            states,
+            self._name_some(near, now),
+            self.quotas.region_report(now),
+            work,
+            self.placing.warmth.take_untold(warmth.Audience.FAR),
+            self.placing.health.outliers.sum_up(ids, now),
+        )
+
+    def take(
+        self,
+        summary: Summary,
+        configuration: models.Configuration | None,
+        now: float,
+    ) -> None:
+        """Takes what a relay of another region tells."""
+        region = self.fleet.zones.get(summary.relay.zone)
+        if region is None or region == self.fleet.own_region:
+            return
+        self._take_hosts(summary, now)
+        as_one = _region_id(region)
+        self.placing.set_peer_work(as_one, dict(summary.work))
+        self.placing.warmth.learn(list(summary.warm), now)
+        self.placing.health.outliers.take_report(as_one, summary.evidence, now)
+        if not self._is_main(region, summary.relay.id, now):
+            return
+        if configuration is not None:
+            self.quotas.take_region_reports(
+                region, summary.usages, configuration, now
+            )
+
+    def drop_silent(self, now: float) -> None:
+        """Forgets the work of regions of which nothing was heard lately."""
+        for region, (_, heard_at) in self.main.items():
+            if now - heard_at > members.SILENCE_S:
+                self.drop_region(region)
+
+    def drop_region(self, region: models.RegionName) -> None:
+        """Forgets the work of a region, whose hosts tell it themselves."""
+        self.placing.drop_peer(_region_id(region))
+        self.placing.health.outliers.drop_peer(_region_id(region))
+
+    def _take_hosts(self, summary: Summary, now: float) -> None:
+        for host in summary.named:
+            self.fleet.learn(host, now)
+        self.fleet.learn(summary.relay, now)
+        for member in list(self.fleet.peers.values()):
+            state = summary.states.get(hash_host(member.host))
+            if state is None:
+                continue
+            self.fleet.hear(member.host, state, now)
+            # What it told itself before is now part of the region's sums.
+            self.placing.drop_peer(member.host.id)
+            self.placing.health.outliers.drop_peer(member.host.id)
+        relay = self.fleet.peers.get(summary.relay.id)
+        if relay is not None:
+            relay.note_versions(summary.op_version, summary.servers_version)
+
+    def _is_main(
+        self, region: models.RegionName, relay: models.HostId, now: float
+    ) -> bool:
+        """Whether a relay's counters count; those of others differ a bit."""
+        main, heard_at = self.main.get(region, (relay, now))
+        if main != relay and now - heard_at < MAIN_SILENCE_S:
+            return False
+        if main != relay:
+            self.quotas.drop_region(region)
+        self.main[region] = (relay, now)
+        return True
+
+    def _name_some(
+        self, near: Sequence[members.Member], now: float
+    ) -> list[members.Host]:
+        """Returns hosts that other regions may not know yet."""
+        recent = [m.host for m in near if now - m.learned_at < RECENT_S]
+        named = recent[:MAX_RECENT]
+        for _ in range(min(NAMED_IN_TURN, len(near))):
+            self.turn += 1
+            named.append(near[self.turn % len(near)].host)
+        return named
+
+
+def hash_host(host: members.Host) -> int:
+    """Returns the number that stands for a host's process in datagrams."""
+    return xxhash.xxh32_intdigest(f"{host.id}\0{host.started_ms}".encode())
+
+
+def _choose(
+    region: models.RegionName, hosts: Iterable[models.HostId]
+) -> list[models.HostId]:
+    """Returns the relays of a region."""
+    key = f"relay of {region}"
+    return sorted(hosts, key=lambda host: ranks.rank(key, host))[:RELAYS]
+
+
+def _region_id(region: models.RegionName) -> models.HostId:
+    """What a region's hosts have together is kept like one peer's."""
+    return models.HostId(f"region {region}")
--- a/src/banyanshed/steering/warmth.py
+++ b/src/banyanshed/steering/warmth.py
@@ -16,6 +16,7 @@
 KEEP_S = 60.0
 MAX_PAIRS = 20_000
 MAX_TOLD_AT_ONCE = 100
+MAX_UNTOLD = 1000
 ESTIMATE_WEIGHT = 0.1
 RECENT_WEIGHT = 0.1
 # Expected times before any were seen, in parts of the latency objective.
@@ -26,10 +27,15 @@
 
 
 class Audience(enum.Enum):
-    """Which peers are told: all, or more often those of the same region."""
+    """Which peers are told.
+
+    Those of the same region hear more often; other regions may hear from
+    few hosts that pass word on.
+    """
 
     ALL = "all"
     NEAR = "near"
+    FAR = "far"
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,14 +110,25 @@
             times.warm_s += ESTIMATE_WEIGHT * (latency_s - times.warm_s)
         self._keep(pair, now)
 
-    def learn(self, pairs: list[int], now: float) -> None:
-        """Takes the pairs that a peer saw answered."""
+    def learn(
+        self, pairs: list[int], now: float, pass_on: bool = False
+    ) -> None:
+        """Takes the pairs that a peer saw answered.
+
+        Args:
+            pairs: From `hash_pair`.
+            now: Current time.
+            pass_on: Other regions hear of them from this host.
+        """
         for pair in pairs:
+            if pass_on and not self.is_warm(pair, now):
+                self.untold[Audience.FAR].append(pair)
             self._keep(pair, now)
 
     def take_untold(self, audience: Audience) -> list[int]:
         """Returns new pairs that some of the peers were not told yet."""
         untold = self.untold[audience]
+        del untold[:-MAX_UNTOLD]
         told = untold[:MAX_TOLD_AT_ONCE]
         del untold[:MAX_TOLD_AT_ONCE]
         if audience is Audience.ALL:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -125,7 +125,7 @@
     assert len(during) >= 0.7 * rate * 5.0
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
 def test_the_limit_holds_with_hosts_cut_off_and_killed(seed):
     hosts, rate, burst = 25, 254.0, 254.0
     fleet = Fleet(hosts, rate, burst)
