Let hosts meet again after a cut of any length up to ten minutes

Cause: hosts that were silent for 30 s were forgotten, and each side of a cut forgot the other; nobody told the other side again, so two halves of a fleet stayed apart until hosts restarted. Found by reading, while the relays' test of a region that comes back was written. Ruled out: reading the store's list of hosts again: it costs calls of every host and does not help while the store is away. Change: silent hosts are told no more after 30 s, but one of them is tried with each full beat, and a region without live hosts gets digests at one of its hosts in turn; after 600 s they are forgotten. Budgets and reports count only hosts that were heard within 30 s, as before. Tests: test_members (the check that a contact is forgotten holds for the new time, and that it is told no more for the old one), test_relays with a region that is away for 45 s.

--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -110,7 +110,11 @@
         pairs = self.placing.warmth.take_untold(warmth.Audience.ALL)
         usages = beats.encode_usages(self.quotas.report(now))
         beat = self._make_beat(usages, pairs)
-        self._send(beat, self._receivers(now))
+        receivers = self._receivers(now)
+        silent = self.fleet.next_silent(now)
+        if silent is not None:
+            receivers.append(silent)
+        self._send(beat, receivers)
         if len(self.fleet.peers) >= len(self.seeds):
             return
         for ip in self.seeds:
@@ -121,7 +125,7 @@
         receivers = self._receivers(now)
         full_s = max(FULL_BEAT_S, len(receivers) * BEAT_PER_HOST_S)
         due = now - self.full_at >= full_s
-        hosts = len(self.fleet.peers) + 1
+        hosts = len(self.fleet.contacts(now)) + 1
         if due or self.quotas.needs_report(hosts, now):
             self.send_beat()
             return
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -231,10 +231,11 @@
             interval_s = STARTING_CHECK_S if starting else HOUSEKEEPING_S
             await asyncio.sleep(interval_s)
             self.applier.drop_missing()
-            self.kept.sweep(self.loop.time())
+            now = self.loop.time()
+            self.kept.sweep(now)
             self._update_state()
             # Hosts that fell silent may go on spending their parts.
-            self.retries.set_hosts(len(self.fleet.peers) + 1)
+            self.retries.set_hosts(len(self.fleet.contacts(now)) + 1)
 
     async def _follow_settings(self) -> None:
         """Reloads the settings when told to, or when their file changes."""
--- a/src/banyanshed/steering/members.py
+++ b/src/banyanshed/steering/members.py
@@ -8,8 +8,10 @@
 
 # A host is taken as down when it was not heard for this long.
 SILENCE_S = 2.6
-# A host that was never heard is kept as a contact for this long.
+# A silent host is still told of this one for so long.
 CONTACT_S = 30.0
+# A silent host is tried now and then until it is forgotten.
+FORGET_S = 600.0
 MIN_HOSTS_IN_ZONE = 2
 MAX_ADDRESSES = 64
 
@@ -79,6 +81,7 @@
         self.zones = zones
         self.own_region = zones.get(own.zone, models.RegionName(""))
         self.peers: dict[models.HostId, Member] = {}
+        self.turn = 0
 
     def learn(self, host: Host, now: float) -> bool:
         """Takes a peer's identity from a third party; true when new."""
@@ -140,20 +143,28 @@
         return ids
 
     def contacts(self, now: float) -> list[Member]:
-        """Returns the peers that are worth sending to."""
-        found = []
-        for member in self.peers.values():
-            since = member.heard_at
-            if since is None:
-                since = member.learned_at
-            if now - since < CONTACT_S:
-                found.append(member)
-        return found
+        """Returns the peers that are worth telling."""
+        return [m for m in self.peers.values() if _age_s(m, now) < CONTACT_S]
+
+    def next_silent(self, now: float) -> Member | None:
+        """Returns a peer that was silent for long, another with each call.
+
+        A cut may have lasted so long that both sides stopped telling each
+        other; whoever tries first ends that.
+        """
+        silent = [m for m in self.peers.values() if _age_s(m, now) >= CONTACT_S]
+        if not silent:
+            return None
+        self.turn += 1
+        return silent[self.turn % len(silent)]
 
     def drop_old(self, now: float) -> list[models.HostId]:
-        """Forgets peers that were silent for long; returns their ids."""
-        kept = {member.host.id for member in self.contacts(now)}
-        gone = [id_ for id_ in self.peers if id_ not in kept]
+        """Forgets peers that were silent for very long; returns their ids."""
+        gone = [
+            id_
+            for id_, member in self.peers.items()
+            if _age_s(member, now) >= FORGET_S
+        ]
         for id_ in gone:
             del self.peers[id_]
         return gone
@@ -187,3 +198,11 @@
         return member.heard_at is not None and (
             now - member.heard_at < SILENCE_S
         )
+
+
+def _age_s(member: Member, now: float) -> float:
+    """Returns the time since a peer was heard, or first heard of."""
+    since = member.heard_at
+    if since is None:
+        since = member.learned_at
+    return now - since
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -93,12 +93,17 @@
     def partners(self, place: int, now: float) -> list[members.Host]:
         """Returns the relay of the same place in each other region."""
         live = self.fleet.by_region(self.fleet.live(now))
-        contacts = self.fleet.by_region(self.fleet.contacts(now))
         partners = []
-        for region, known in contacts.items():
+        regions = self.fleet.by_region(self.fleet.peers.values())
+        for region, known in regions.items():
             if region == self.fleet.own_region:
                 continue
-            hosts = {m.host.id: m.host for m in live.get(region, known)}
+            hosts = {m.host.id: m.host for m in live.get(region, [])}
+            if not hosts:
+                # Any of them may be the one that is back.
+                self.turn += 1
+                partners.append(known[self.turn % len(known)].host)
+                continue
             first = _choose(region, hosts)
             partners.append(hosts[first[place % len(first)]])
         return partners
