Tell only the counters of customers that asked lately

Cause: at 99 hosts in three regions and 72 customers a beat with all counters has 933 bytes, and taking counters in is over half of the time that beats take (0.018 s of processor time a second in a measurement of one host's beats). Change: a host tells a customer's counters until 3.5 s after its last request there; a lost report is made up for by the next ones. Tests: test_quotas.

--- a/src/banyanshed/steering/quotas.py
+++ b/src/banyanshed/steering/quotas.py
@@ -30,6 +30,9 @@
 # a report before the next regular one.
 REPORT_SHARE = 0.5
 MIN_REPORT_EXCESS = 2.0
+# Counters are told for this long after they changed last, as single reports
+# may be lost.
+REPORTED_FOR_S = 3.5
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
 
@@ -335,10 +338,11 @@
         return False
 
     def report(self, now: float) -> list[Usage]:
-        """Returns the counters of all customers that were ever admitted."""
+        """Returns the counters of the customers that asked here lately."""
         usages = []
         for name, bucket in self.buckets.items():
-            if bucket.admitted == 0 and bucket.offered == 0.0:
+            asked_s = now - bucket.offered_at
+            if bucket.offered == 0.0 or asked_s > REPORTED_FOR_S:
                 continue
             usages.append(bucket.report(name, now))
         return usages
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from banyanshed.steering import models
 from banyanshed.steering import quotas
 
 WINDOW_S = 5.0
@@ -154,3 +155,16 @@
     play(fleet, lambda now: 150.0, events=[(8.0, lower)])
     late = [at for at in fleet.admitted if at > 8.0 + WINDOW_S]
     assert worst_window(late) <= bound(30.0, 30.0)
+
+
+def test_only_customers_that_asked_lately_are_told():
+    known = quotas.Quotas()
+    busy = models.Customer("busy", (), rate=10.0, burst=10.0)
+    idle = models.Customer("idle", (), rate=10.0, burst=10.0)
+    known.admit(idle, 0.0)
+    known.admit(busy, 0.0)
+    known.admit(busy, 3.0)
+    names = [usage.customer for usage in known.report(3.2)]
+    assert names == ["idle", "busy"]
+    names = [usage.customer for usage in known.report(4.0)]
+    assert names == ["busy"]
