Follow the platform's tables through relays in large fleets

Ruled out: longer spacing between calls: the bounds of a configuration and of a leaving server leave no room. Change: above 32 hosts only a region's relays follow the store; the others follow a relay of their region by the same kind of long poll, and the store when no relay serves them. A relay serves changes only while the store answers it. Mirrors remember deletions for that. A table that only other regions know is copied by a relay first. Tests: test_sources with real sockets: calls of relays only, a relay killed, relays without the store, an outage and its end.

--- a/src/banyanshed/gateway/beats.py
+++ b/src/banyanshed/gateway/beats.py
@@ -9,7 +9,7 @@
 import msgspec
 import xxhash
 
-from banyanshed.gateway import feeds
+from banyanshed.gateway import mirrors
 from banyanshed.platform import wire
 from banyanshed.steering import members
 from banyanshed.steering import models
@@ -87,7 +87,7 @@
 
 
 class TableForm(msgspec.Struct, array_like=True, frozen=True):
-    """A whole table."""
+    """A whole table, or changes of one."""
 
     version: int
     rows: list[RowForm]
@@ -193,16 +193,20 @@
     return _MESSAGE.decode(data)
 
 
-def encode_table(mirror: feeds.Mirror) -> bytes:
+def encode_table(mirror: mirrors.Mirror) -> bytes:
     """Returns a whole table as bytes."""
-    rows = [
-        RowForm(row.key, row.value, row.version) for row in mirror.rows.values()
-    ]
-    return encode(TableForm(mirror.version, rows))
+    rows = tuple(mirror.rows.values())
+    return encode_page(wire.Page(rows, mirror.version, False))
+
+
+def encode_page(page: wire.Page) -> bytes:
+    """Returns rows of a table as bytes."""
+    rows = [RowForm(row.key, row.value, row.version) for row in page.rows]
+    return encode(TableForm(page.version, rows))
 
 
 def decode_table(data: bytes) -> wire.Page:
-    """Returns a whole table.
+    """Returns rows of a table.
 
     Raises:
         msgspec.MsgspecError: The bytes are no table.
--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -1,8 +1,8 @@
 """Keeps the view up to date from the platform's store, or from peers.
 
-Each table has a mirror: its rows and the version at which they were read.
-The store's feed moves the mirror on. A host that the store does not serve
-takes a newer mirror from a peer.
+Each table has a mirror: its rows and the version at which they were read. A
+feed moves the mirror on: the store's or, in large fleets, that of a relay of
+the host's region. A host that neither serves takes a newer mirror from a peer.
 """
 
 import asyncio
@@ -13,12 +13,13 @@
 from banyanshed import exceptions
 from banyanshed.gateway import logs
 from banyanshed.gateway import metrics
+from banyanshed.gateway import mirrors
+from banyanshed.gateway import sources as sources_lib
 from banyanshed.platform import store as store_lib
 from banyanshed.platform import wire
 from banyanshed.steering import models
 from banyanshed.steering import views
 
-FEED_WAIT_S = 20.0
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 1.0
 # Changes that follow each other closely are fetched together.
@@ -29,63 +30,6 @@
 MASS_LOSS_SHARE = 0.25
 
 
-class Mirror:
-    """A table's rows as this host knows them.
-
-    Attributes:
-        table: Name of the table.
-        rows: Rows by key.
-        version: The store's version that the rows are known to match.
-        changed_version: Version of the newest change among them.
-        is_known: The table was read at least once.
-    """
-
-    def __init__(self, table: str):
-        """Starts unread."""
-        self.table = table
-        self.rows: dict[str, wire.Row] = {}
-        self.version = 0
-        self.changed_version = 0
-        self.is_known = False
-
-    def replace(self, page: wire.Page) -> list[wire.Row]:
-        """Takes the whole table; returns changed rows, deleted ones too."""
-        if self.is_known and page.version < self.version:
-            return []
-        new = {row.key: row for row in page.rows if row.value is not None}
-        changed = []
-        for key in self.rows:
-            if key not in new:
-                changed.append(wire.Row(key, None, page.version))
-        for key, row in new.items():
-            known = self.rows.get(key)
-            if known is None or known.version != row.version:
-                changed.append(row)
-        self.rows = new
-        self.version = page.version
-        self.is_known = True
-        if changed:
-            newest = max(row.version for row in changed)
-            self.changed_version = max(self.changed_version, newest)
-        return changed
-
-    def merge(self, page: wire.Page) -> list[wire.Row]:
-        """Takes changes in order; returns those that are new."""
-        changed = []
-        for row in page.rows:
-            known = self.rows.get(row.key)
-            if known is not None and known.version >= row.version:
-                continue
-            changed.append(row)
-            if row.value is None:
-                self.rows.pop(row.key, None)
-            else:
-                self.rows[row.key] = row
-            self.changed_version = max(self.changed_version, row.version)
-        self.version = max(self.version, page.version)
-        return changed
-
-
 class Applier:
     """Decodes changed rows into the view and tells what changed."""
 
@@ -105,7 +49,7 @@
         self.in_outage = False
 
     def apply(
-        self, mirror: Mirror, changed: Iterable[wire.Row], source: str
+        self, mirror: mirrors.Mirror, changed: Iterable[wire.Row], source: str
     ) -> None:
         """Takes the changed rows of a mirror."""
         if mirror.table == wire.OPERATOR_TABLE:
@@ -121,7 +65,7 @@
             logs.log_belief("server_gone", server=server, cause="not_back")
 
     def _apply_operator(
-        self, mirror: Mirror, changed: Iterable[wire.Row], source: str
+        self, mirror: mirrors.Mirror, changed: Iterable[wire.Row], source: str
     ) -> None:
         for row in changed:
             if row.key == wire.CONFIGURATION_KEY and row.value is not None:
@@ -158,7 +102,7 @@
         )
 
     def _apply_servers(
-        self, mirror: Mirror, changed: list[wire.Row], source: str
+        self, mirror: mirrors.Mirror, changed: list[wire.Row], source: str
     ) -> None:
         now = self.clock()
         removed = sum(1 for row in changed if row.value is None)
@@ -217,20 +161,22 @@
 
 
 class Feed:
-    """Follows one table of the store."""
+    """Follows one table."""
 
     def __init__(
         self,
-        mirror: Mirror,
-        store: store_lib.StoreClient,
+        mirror: mirrors.Mirror,
+        sources: sources_lib.Sources,
         applier: Applier,
         counters: metrics.Metrics,
     ):
-        """Takes the mirror to move on and the store to read."""
+        """Takes the mirror to move on and what it is read from."""
         self.mirror = mirror
-        self.store = store
+        self.sources = sources
+        self.failures = 0
         self.applier = applier
         self.counters = counters
+        self.source = sources.store
         self.must_read_all = True
         self.is_connected = False
         self.was_connected = False
@@ -244,33 +190,50 @@
                 self._note_success()
             except store_lib.HistoryLost:
                 self.must_read_all = True
-                self.counters.count_store_call(self.mirror.table, "lost")
+                self._count(self.source, "lost")
                 logs.log_belief("history_lost", table=self.mirror.table)
             except exceptions.PlatformError as error:
                 self._note_failure(error)
+                if not self.source.is_store:
+                    continue
                 await asyncio.sleep(self.retry_s * random.uniform(0.7, 1.3))
                 self.retry_s = min(RETRY_MAX_S, self.retry_s * 2.0)
 
     async def _step(self) -> None:
         mirror = self.mirror
+        source = self.sources.choose(
+            mirror.table, self.failures, self.applier.clock()
+        )
+        self.source = source
+        if not source.is_store:
+            mirror.set_follows_store(False)
         if self.must_read_all:
-            page = await self.store.read_table(mirror.table)
+            page = await source.tables.read_table(mirror.table)
             self.must_read_all = False
             changed = mirror.replace(page)
-            self.counters.count_store_call(mirror.table, "read")
-            self.applier.apply(mirror, changed, "store")
+            self._count(source, "read")
+            self.applier.apply(mirror, changed, source.name)
             return
-        page = await self.store.read_changes(
-            mirror.table, mirror.version, FEED_WAIT_S
+        page = await source.tables.read_changes(
+            mirror.table, mirror.version, source.wait_s
         )
-        self.counters.count_store_call(mirror.table, "changes")
+        self._count(source, "changes")
         changed = mirror.merge(page)
-        if changed:
-            self.applier.apply(mirror, changed, "store")
+        if not changed:
+            return
+        self.applier.apply(mirror, changed, source.name)
+        if source.is_store:
             await asyncio.sleep(SPACING_S[mirror.table])
 
+    def _count(self, source: sources_lib.Source, result: str) -> None:
+        if source.is_store:
+            self.counters.count_store_call(self.mirror.table, result)
+
     def _note_success(self) -> None:
         self.retry_s = RETRY_MIN_S
+        self.failures = 0
+        if self.source.is_store:
+            self.mirror.set_follows_store(True)
         if self.is_connected:
             return
         self.is_connected = True
@@ -281,7 +244,18 @@
         logs.log_belief("store_regained", table=self.mirror.table)
 
     def _note_failure(self, error: exceptions.PlatformError) -> None:
-        self.counters.count_store_call(self.mirror.table, error.code)
+        self.failures += 1
+        self._count(self.source, error.code)
+        self.mirror.set_follows_store(False)
+        if not self.source.is_store:
+            # The next attempt asks another source.
+            logs.log_belief(
+                "feed_failed",
+                table=self.mirror.table,
+                source=self.source.name,
+                error=str(error),
+            )
+            return
         if not self.is_connected:
             return
         self.is_connected = False
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -15,6 +15,7 @@
 from banyanshed.gateway import beats
 from banyanshed.gateway import feeds
 from banyanshed.gateway import logs
+from banyanshed.gateway import mirrors
 from banyanshed.platform import wire
 from banyanshed.steering import members
 from banyanshed.steering import models
@@ -45,7 +46,8 @@
         quotas: quotas_lib.Quotas,
         placing: placement.Placement,
         applier: feeds.Applier,
-        mirrors: dict[str, feeds.Mirror],
+        tables: dict[str, mirrors.Mirror],
+        relays: relays_lib.Relays,
         port: int,
         seeds: tuple[str, ...],
     ):
@@ -54,9 +56,9 @@
         self.quotas = quotas
         self.placing = placing
         self.outliers = placing.health.outliers
-        self.relays = relays_lib.Relays(fleet, quotas, placing)
+        self.relays = relays
         self.applier = applier
-        self.mirrors = mirrors
+        self.mirrors = tables
         self.port = port
         self.seeds = seeds
         self.loop = asyncio.get_running_loop()
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -25,7 +25,9 @@
 from banyanshed.gateway import logs
 from banyanshed.gateway import messages
 from banyanshed.gateway import metrics
+from banyanshed.gateway import mirrors
 from banyanshed.gateway import pools
+from banyanshed.gateway import sources
 from banyanshed.platform import settings as settings_lib
 from banyanshed.platform import store as store_lib
 from banyanshed.platform import wire
@@ -37,6 +39,7 @@
 from banyanshed.steering import outliers
 from banyanshed.steering import placement
 from banyanshed.steering import quotas
+from banyanshed.steering import relays
 from banyanshed.steering import routing
 from banyanshed.steering import views
 from banyanshed.steering import warmth
@@ -109,23 +112,32 @@
             self.view, self._forget_server, self._take_limits, clock
         )
         self.mirrors = {
-            table: feeds.Mirror(table)
+            table: mirrors.Mirror(table)
             for table in (wire.OPERATOR_TABLE, wire.SERVER_TABLE)
         }
         self.store = store_lib.StoreClient(
             lambda: clients.HttpClient(settings.store)
         )
+        self.relays = relays.Relays(self.fleet, self.quotas, self.placing)
         self.gossip = gossip_lib.Gossip(
             self.fleet,
             self.quotas,
             self.placing,
             self.applier,
             self.mirrors,
+            self.relays,
             settings.peer_port,
             settings.seeds,
         )
         self.copies = copies.TableCopies(
-            self.fleet, self.applier, self.mirrors, settings.peer_port
+            self.fleet,
+            self.applier,
+            self.mirrors,
+            self.relays,
+            settings.peer_port,
+        )
+        self.sources = sources.Sources(
+            self.store, self.relays, settings.peer_port
         )
         self.stopping = asyncio.Event()
         self.reload_asked = asyncio.Event()
@@ -160,8 +172,9 @@
         self.server = await listeners.listen(
             settings.callers, self.stage, stack
         )
+        stack.callback(self.sources.close)
         for mirror in self.mirrors.values():
-            feed = feeds.Feed(mirror, self.store, self.applier, self.counters)
+            feed = feeds.Feed(mirror, self.sources, self.applier, self.counters)
             self._spawn(feed.run(), stack)
         self._spawn(self.copies.run(), stack)
         self._spawn(self._announce(), stack)
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -84,11 +84,16 @@
 
     def own_place(self, now: float) -> int | None:
         """Returns this host's place among its region's relays, if any."""
+        relays = self.near_relays(now)
         own = self.fleet.own
-        names = [m.host.id for m in self.fleet.near(now)]
-        names.append(own.id)
-        first = _choose(self.fleet.own_region, names)
-        return first.index(own.id) if own.id in first else None
+        return relays.index(own) if own in relays else None
+
+    def near_relays(self, now: float) -> list[members.Host]:
+        """Returns the relays of this host's region, itself perhaps."""
+        hosts = {m.host.id: m.host for m in self.fleet.near(now)}
+        hosts[self.fleet.own.id] = self.fleet.own
+        first = _choose(self.fleet.own_region, hosts)
+        return [hosts[id_] for id_ in first]
 
     def partners(self, place: int, now: float) -> list[members.Host]:
         """Returns the relay of the same place in each other region."""
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,6 +1,7 @@
 import pytest
 
 from banyanshed.gateway import feeds
+from banyanshed.gateway import mirrors
 from banyanshed.platform import wire
 from tests import steering_cases as cases
 
@@ -15,7 +16,7 @@
         self.applier = feeds.Applier(
             self.view, self.forgotten.append, lambda _: None, lambda: self.now
         )
-        self.mirror = feeds.Mirror(wire.SERVER_TABLE)
+        self.mirror = mirrors.Mirror(wire.SERVER_TABLE)
 
     def remove(self, *servers):
         rows = [wire.Row(server, None, 9) for server in servers]
--- /dev/null
+++ b/tests/test_sources.py
@@ -0,0 +1,173 @@
+"""What hosts of a large fleet follow the platform's tables through."""
+
+import asyncio
+
+import pytest
+
+from banyanshed.gateway import mirrors
+from banyanshed.platform import wire
+from banyanshed.steering import relays
+from standins import store as store_lib
+from tests import gateway_fleet
+
+HOSTS = 5
+
+
+@pytest.fixture(autouse=True)
+def small_limit(monkeypatch):
+    """Lets a fleet of a few hosts count as large."""
+    monkeypatch.setattr(relays, "MESH_HOSTS", 2)
+
+
+def relays_of(fleet):
+    names = set()
+    for name, host in fleet.hosts.items():
+        if host.relays.own_place(host.loop.time()) is not None:
+            names.add(name)
+    return names
+
+
+def followers_of(fleet):
+    return sorted(set(fleet.hosts) - relays_of(fleet))
+
+
+async def await_order(fleet):
+    """Waits until every host knows the others and follows its source."""
+
+    def in_order():
+        chosen = relays_of(fleet)
+        if len(chosen) != relays.RELAYS:
+            return False
+        for name, host in fleet.hosts.items():
+            is_relay = name in chosen
+            if len(host.fleet.live(host.loop.time())) != HOSTS - 1:
+                return False
+            for source in host.sources.names.values():
+                if (source == "store") != is_relay:
+                    return False
+        return True
+
+    # A change lets calls that wait at the store end.
+    for version in range(2, 40):
+        if in_order():
+            return
+        await fleet.store.put(
+            "op", "config", gateway_fleet.configuration(version)
+        )
+        await fleet.store.put("servers", "odd", {"addr": "x", "n": version})
+        await asyncio.sleep(0.3)
+    raise AssertionError("the hosts found no order")
+
+
+def knows_version(host, version):
+    configuration = host.view.configuration
+    return configuration is not None and configuration.version == version
+
+
+def test_changes_reach_all_hosts_with_calls_of_the_relays_only():
+    async def scenario(fleet):
+        await await_order(fleet)
+        fleet.store.calls.clear()
+        for version in (100, 101, 102):
+            config = gateway_fleet.configuration(version)
+            await fleet.store.put("op", "config", config)
+            await fleet.await_true(
+                lambda wanted=version: all(
+                    knows_version(host, wanted) for host in fleet.hosts.values()
+                )
+            )
+        feeds = [call for call in fleet.store.calls if "feed" in call]
+        # A call of each relay for each change, and those that end in turn.
+        assert len(feeds) <= relays.RELAYS * (3 + 2)
+
+    gateway_fleet.play(scenario, hosts=HOSTS)
+
+
+def test_servers_that_leave_are_gone_on_followers_too():
+    async def scenario(fleet):
+        await await_order(fleet)
+        await fleet.store.remove("servers", "i1")
+        for name in fleet.hosts:
+            host = fleet.hosts[name]
+            await fleet.await_true(
+                lambda known=host: "i1" not in known.view.servers
+            )
+
+    gateway_fleet.play(scenario, hosts=HOSTS)
+
+
+def test_followers_go_on_when_a_relay_is_killed():
+    async def scenario(fleet):
+        await await_order(fleet)
+        killed = sorted(relays_of(fleet))[0]
+        left = {n: h for n, h in fleet.hosts.items() if n != killed}
+        fleet.tasks[killed].cancel()
+        config = gateway_fleet.configuration(100)
+        await fleet.store.put("op", "config", config)
+        await fleet.await_true(
+            lambda: all(knows_version(host, 100) for host in left.values())
+        )
+
+    gateway_fleet.play(scenario, hosts=HOSTS)
+
+
+def test_followers_of_relays_without_the_store_ask_it_themselves():
+    async def scenario(fleet):
+        await await_order(fleet)
+        for name in relays_of(fleet):
+            for mirror in fleet.hosts[name].mirrors.values():
+                mirror.set_follows_store(False)
+        # Relays that the store does not serve refuse their followers.
+        followers = [fleet.hosts[name] for name in followers_of(fleet)]
+        await fleet.await_true(
+            lambda: all(
+                "store" in host.sources.names.values() for host in followers
+            )
+        )
+
+    gateway_fleet.play(scenario, hosts=HOSTS)
+
+
+def test_an_outage_ends_for_followers_when_it_ends_for_relays():
+    async def scenario(fleet):
+        await await_order(fleet)
+        fleet.store.fault = store_lib.Fault.BUSY
+        for host in fleet.hosts.values():
+            await fleet.await_true(lambda known=host: known.applier.in_outage)
+        fleet.store.fault = None
+        await fleet.store.put("op", "config", gateway_fleet.configuration(100))
+        for host in fleet.hosts.values():
+            await fleet.await_true(
+                lambda known=host: not known.applier.in_outage
+            )
+            await fleet.await_true(lambda known=host: knows_version(known, 100))
+
+    gateway_fleet.play(scenario, hosts=HOSTS)
+
+
+def row(key, version, value=b"{}"):
+    return wire.Row(key, value, version)
+
+
+def test_a_mirror_tells_changes_and_deletions_after_a_version():
+    mirror = mirrors.Mirror("t")
+    mirror.replace(wire.Page((row("a", 1), row("b", 2)), 5, False))
+    mirror.merge(wire.Page((row("c", 6), row("a", 7, None)), 7, False))
+    page = mirror.changes_after(5)
+    assert [r.key for r in page.rows] == ["c", "a"]
+    assert page.rows[1].value is None
+    assert page.version == 7
+    assert mirror.changes_after(7).rows == ()
+    # What was deleted before the table was read is not known.
+    assert mirror.changes_after(4) is None
+
+
+def test_a_mirror_forgets_old_deletions_and_says_so():
+    mirror = mirrors.Mirror("t")
+    count = mirrors.MAX_DELETED + 5
+    rows = tuple(row(f"k{n}", n + 1) for n in range(count))
+    mirror.replace(wire.Page(rows, count, False))
+    gone = tuple(row(f"k{n}", count + n + 1, None) for n in range(count))
+    mirror.merge(wire.Page(gone, 2 * count, False))
+    assert mirror.changes_after(count) is None
+    assert len(mirror.changes_after(count + 5).rows) == mirrors.MAX_DELETED
