Use relays from 13 hosts on

Change: the limit is 12 hosts; a peer's newer table is looked for five times a second instead of twenty.

--- a/src/banyanshed/gateway/copies.py
+++ b/src/banyanshed/gateway/copies.py
@@ -23,7 +23,7 @@
 BEHIND_S = 1.0
 # The same when only hosts of other regions have it.
 FAR_BEHIND_S = 1.8
-TICK_S = 0.05
+TICK_S = 0.2
 MAX_WAIT_S = 30.0
 
 
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -22,7 +22,7 @@
 from banyanshed.steering import warmth
 
 # Fleets up to this size tell each other directly.
-MESH_HOSTS = 32
+MESH_HOSTS = 12
 # Hosts of a region that pass word on.
 RELAYS = 2
 # A relay that was not heard for this long is replaced as the one whose
