Soak real hosts under drawn troubles and check what callers see

Cause: the proofs of the platform path ran one fault at a time; nothing played troubles in series and overlapping on real processes. Change: tests/soak: a loopback proxy that delays, resets, cuts one way or silences; hosts as processes that are stopped, killed, paused and reloaded; a store that fails; servers that are slow, fail, join and leave; configurations and keys that change.

--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,58 @@
+"""Plays seeds by hand.
+
+.venv/bin/python -m tests.soak --first=1 --count=50 --length_s=12
+.venv/bin/python -m tests.soak --first=1 --count=1 --large
+"""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+from absl import flags
+
+from tests.soak import play
+
+FLAGS = flags.FlagValues()
+FIRST = flags.DEFINE_integer("first", 1, "First seed.", flag_values=FLAGS)
+COUNT = flags.DEFINE_integer("count", 10, "Seeds.", flag_values=FLAGS)
+LENGTH_S = flags.DEFINE_float(
+    "length_s", 12.0, "How long troubles begin, in seconds.", flag_values=FLAGS
+)
+LARGE = flags.DEFINE_boolean(
+    "large", False, "Enough hosts for relays.", flag_values=FLAGS
+)
+LOGS = flags.DEFINE_string(
+    "logs", None, "Folder that keeps logs and settings.", flag_values=FLAGS
+)
+
+
+def main():
+    """Plays the seeds; returns 1 if any broke a promise."""
+    FLAGS(sys.argv)
+    size = play.LARGE if LARGE.value else None
+    failed = []
+    for seed in range(FIRST.value, FIRST.value + COUNT.value):
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = pathlib.Path(temporary)
+            if LOGS.value is not None:
+                folder = pathlib.Path(LOGS.value) / str(seed)
+                folder.mkdir(parents=True, exist_ok=True)
+            one = play.play(seed, LENGTH_S.value, folder, size)
+            result = asyncio.run(one)
+        kinds = " ".join(trouble.kind for trouble in result.troubles)
+        print(
+            f"seed {seed}: {result.served} of {result.requests} served,"
+            f" {len(result.broken)} broken; {kinds}",
+            flush=True,
+        )
+        for line in result.broken[:10]:
+            print(f"  {line}")
+        if result.broken:
+            failed.append(seed)
+    print(f"failed seeds: {failed or 'none'}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/proxies.py
@@ -0,0 +1,114 @@
+"""A TCP proxy on loopback that delays, resets, cuts or silences."""
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+
+
+class Harm(enum.Enum):
+    """What a proxy does to its connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    CUT_THERE = "cut_there"
+    CUT_BACK = "cut_back"
+    SILENT = "silent"
+
+
+# Harms that stop the bytes to the server, and those that stop its answers.
+STOPS_THERE = frozenset({Harm.CUT_THERE, Harm.SILENT})
+STOPS_BACK = frozenset({Harm.CUT_BACK, Harm.SILENT})
+DELAY_S = 0.3
+
+
+class Proxy:
+    """Passes connections on to one address.
+
+    Bytes that a cut holds up go on when it ends, as on a network.
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.address = ("", 0)
+        self.harm = Harm.NONE
+        self.changed = asyncio.Event()
+        self.writers = set()
+        self.tasks = set()
+
+    async def start(self, stack, ip, port=0):
+        server = await asyncio.start_server(self._accept, ip, port)
+        self.address = server.sockets[0].getsockname()[:2]
+        stack.callback(server.close)
+        stack.callback(self._close)
+
+    def set_harm(self, harm):
+        self.harm = harm
+        self.changed.set()
+        self.changed = asyncio.Event()
+        if harm is Harm.RESET:
+            self._reset_all()
+
+    async def _accept(self, reader, writer):
+        if self.harm is Harm.RESET:
+            _reset(writer)
+            return
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        self.writers.add(writer)
+        try:
+            await self._pass(reader, writer)
+        except OSError:
+            _reset(writer)
+        finally:
+            self.writers.discard(writer)
+            self.tasks.discard(task)
+
+    async def _pass(self, reader, writer):
+        far_reader, far_writer = await asyncio.open_connection(*self.target)
+        self.writers.add(far_writer)
+        pumps = [
+            asyncio.ensure_future(self._pump(reader, far_writer, STOPS_THERE)),
+            asyncio.ensure_future(self._pump(far_reader, writer, STOPS_BACK)),
+        ]
+        try:
+            await asyncio.gather(*pumps)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            self.writers.discard(far_writer)
+            with contextlib.suppress(OSError):
+                far_writer.close()
+                writer.close()
+
+    async def _pump(self, reader, writer, stops):
+        while True:
+            data = await reader.read(65536)
+            while self.harm in stops:
+                await self.changed.wait()
+            if self.harm is Harm.DELAY:
+                await asyncio.sleep(DELAY_S)
+            if not data:
+                writer.close()
+                return
+            writer.write(data)
+            await writer.drain()
+
+    def _reset_all(self):
+        for writer in list(self.writers):
+            _reset(writer)
+
+    def _close(self):
+        for task in self.tasks:
+            task.cancel()
+
+
+def _reset(writer):
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,382 @@
+"""The world of a play: store, backend servers, callers, host processes."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+
+import h11
+import yaml
+
+from banyanshed.gateway import listeners
+from standins import servers as servers_lib
+from standins import store as store_lib
+from tests import gateway_fleet
+from tests.soak import proxies
+from tests.soak import records as r
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PROGRAM = ROOT / "scripts" / "entry_host.py"
+EXAMPLE = ROOT / "examples" / "platform-node.yaml"
+ZONES = {"a1": "a", "a2": "a", "b1": "b"}
+SLOTS = 4
+WORK_S = 0.05
+GRACE_S = 3.0
+READY_S = 60.0
+LAG_S = 0.2
+KEYS = ("key-1", "key-2", "key-3")
+OBJECTS = 40
+
+
+class Server:
+    """A backend server behind a proxy."""
+
+    def __init__(self, world, id_):
+        self.world = world
+        self.id = id_
+        self.slow_factor = 1.0
+        self.failing_share = 0.0
+        self.backend = servers_lib.BackendServer(id_, self._answer)
+        self.proxy = None
+
+    async def start(self, stack):
+        await self.backend.start(stack, f"{gateway_fleet.NETWORK}.0.1")
+        self.proxy = proxies.Proxy(self.backend.address)
+        await self.proxy.start(stack, f"{gateway_fleet.NETWORK}.0.1")
+        await self.register("ready")
+
+    async def register(self, state):
+        ip, port = self.proxy.address
+        zones = list(ZONES)
+        number = int(self.id.removeprefix("i"))
+        entry = {
+            "addr": f"{ip}:{port}",
+            "info": {
+                "backend": "s",
+                "zone": zones[number % len(zones)],
+                "slots": SLOTS,
+            },
+            "status": {"state": state, "coldLeft": "0ms"},
+            "born": 1000,
+        }
+        await self.world.store.put("servers", self.id, entry)
+
+    async def _answer(self, exchange):
+        world = self.world
+        headers = exchange.headers
+        run = r.Run(
+            headers["x-banyanshed-request-id"],
+            self.id,
+            world.now(),
+            headers.get("x-banyanshed-tenant", ""),
+            "x-api-key" in headers,
+        )
+        world.records.runs.append(run)
+        try:
+            work_s = WORK_S * world.rng.uniform(0.5, 1.5) * self.slow_factor
+            await asyncio.sleep(work_s)
+        except asyncio.CancelledError:
+            run.left_at = world.now()
+            raise
+        if world.rng.random() < self.failing_share:
+            exchange.reset()
+            return
+        run.body = f"{run.id} by {self.id} ".encode() * world.rng.randint(1, 9)
+        exchange.answer(200, run.body)
+
+
+class Host:
+    """An entry host's process."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.name = f"h{number}"
+        self.ip = f"{gateway_fleet.NETWORK}.2.{number}"
+        self.zone = list(ZONES)[number % len(ZONES)]
+        self.store_proxy = proxies.Proxy(world.store_address)
+        self.process = None
+        self.path = world.folder / f"{self.name}.yaml"
+        self.log = world.folder / f"{self.name}.log"
+
+    async def open(self, stack):
+        ip = f"{gateway_fleet.NETWORK}.0.1"
+        await self.store_proxy.start(stack, ip)
+        self.path.write_text(yaml.safe_dump(self._settings()))
+        stack.callback(self.kill)
+        self.start()
+
+    def start(self):
+        environment = {**os.environ, "BANYANSHED_BOOT": str(self.path)}
+        port = self.world.ports[5]
+        command = [sys.executable, str(PROGRAM), f"--metrics_port={port}"]
+        with self.log.open("ab") as stream:
+            self.process = subprocess.Popen(
+                command, stdout=stream, stderr=stream, env=environment
+            )
+
+    def send(self, number):
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self):
+        if self.process is None:
+            return
+        self.send(signal.SIGKILL)
+        self.process.wait()
+
+    async def wait_ended(self):
+        while self.process.poll() is None:
+            await asyncio.sleep(0.02)
+
+    async def is_ready(self):
+        try:
+            status = await ask(self.ip, self.world.ports[1], "/")
+        except (OSError, TimeoutError, h11.RemoteProtocolError):
+            return False
+        return status == 200
+
+    def change_settings(self):
+        """Writes other settings that may change while it runs."""
+        settings = self._settings()
+        extra = self.world.rng.randint(50, 200)
+        settings["bounds"].append(f"budgetExtra={extra}")
+        self.path.write_text(yaml.safe_dump(settings))
+
+    def _settings(self):
+        tree = yaml.safe_load(EXAMPLE.read_text())
+        ports = self.world.ports
+        names = ("front", "ready", "control", "directory")
+        tree["node"], tree["ip"] = self.name, self.ip
+        tree["zones"] = dict(ZONES)
+        tree["zone"], tree["region"] = self.zone, ZONES[self.zone]
+        tree["listen"] = {
+            name: f"{self.ip}:{port}"
+            for name, port in zip(names, ports, strict=False)
+        }
+        tree["portRange"] = [ports[4], ports[4]]
+        tree["seeds"] = [f"{gateway_fleet.NETWORK}.2.1:{ports[2]}"]
+        tree["bounds"].append(f"grace={GRACE_S:g}s")
+        ip, port = self.store_proxy.address
+        tree["provider"]["addr"] = f"{ip}:{port}"
+        return tree
+
+
+class World:
+    """All parts of a play."""
+
+    def __init__(self, folder, seed, stack):
+        self.folder = folder
+        self.rng = random.Random(seed)
+        self.stack = stack
+        self.loop = asyncio.get_running_loop()
+        self.started_at = self.loop.time()
+        self.records = r.Records()
+        self.store = store_lib.Store()
+        self.store_address = ("", 0)
+        self.servers = {}
+        self.hosts = {}
+        self.version = 1
+        self.keys = list(KEYS)
+        self.ports = []
+
+    def now(self):
+        return self.loop.time() - self.started_at
+
+    async def start(self, hosts, servers):
+        ip = f"{gateway_fleet.NETWORK}.0.1"
+        self.ports = [gateway_fleet.free_port(ip) for _ in range(6)]
+        self.store_address = (ip, gateway_fleet.free_port(ip))
+        await listeners.listen(self.store_address, self.store.stage, self.stack)
+        await self.put_configuration()
+        for number in range(servers):
+            server = Server(self, f"i{number}")
+            await server.start(self.stack)
+            self.servers[server.id] = server
+        for number in range(1, hosts + 1):
+            host = Host(self, number)
+            self.hosts[host.name] = host
+            await host.open(self.stack)
+        watching = asyncio.ensure_future(self._watch_own_lag())
+        self.stack.callback(watching.cancel)
+        for host in self.hosts.values():
+            await self.await_ready(host)
+
+    async def await_ready(self, host):
+        end = self.now() + READY_S
+        while not await host.is_ready():
+            assert self.now() < end, f"{host.name} never became ready"
+            await asyncio.sleep(0.05)
+
+    async def put_configuration(self):
+        customers = [
+            {"name": f"c{key}", "apiKeys": [key], "ratePerS": 0}
+            for key in self.keys
+        ]
+        extra = gateway_fleet.route(f"extra{self.version}")
+        routes = [
+            gateway_fleet.route(),
+            gateway_fleet.route("u", "unsafe"),
+            extra,
+        ]
+        tree = gateway_fleet.configuration(self.version, routes, customers)
+        await self.store.put("op", "config", tree)
+
+    async def _watch_own_lag(self):
+        """Notes when this process was held up, so that times mislead."""
+        while True:
+            before = self.now()
+            await asyncio.sleep(0.05)
+            if self.now() - before > 0.05 + LAG_S:
+                self.records.late_until.append(self.now())
+
+
+class Caller:
+    """Sends one request after the other over a connection that it keeps."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.number = number
+        self.count = 0
+        self.host = None
+        self.reader = None
+        self.writer = None
+        self.may_leave = True
+
+    async def run(self):
+        while True:
+            request = self._next()
+            await self._send(request)
+            pause_s = request.retry_after_s
+            if pause_s is None:
+                pause_s = self.world.rng.uniform(0.0, 0.1)
+            await asyncio.sleep(pause_s)
+
+    def _next(self):
+        world = self.world
+        self.count += 1
+        if self.writer is None:
+            self.host = world.rng.choice(list(world.hosts.values()))
+        safe = world.rng.random() < 0.7
+        number = world.rng.randrange(OBJECTS)
+        return r.Request(
+            f"c{self.number}-{self.count}",
+            self.host.name,
+            f"/{'r' if safe else 'u'}/{number}",
+            safe,
+            world.rng.choice(KEYS),
+            world.now(),
+        )
+
+    async def _send(self, request):
+        try:
+            if self.writer is None:
+                address = (self.host.ip, self.world.ports[0])
+                async with asyncio.timeout(1.0):
+                    self.reader, self.writer = await asyncio.open_connection(
+                        *address
+                    )
+        except (OSError, TimeoutError):
+            request.ending = r.Ending.NOT_SENT
+            return
+        request.sent_at = self.world.now()
+        self.world.records.requests.append(request)
+        try:
+            await self._exchange(request)
+        except (OSError, h11.RemoteProtocolError):
+            request.ending = r.Ending.BROKEN
+        except asyncio.CancelledError:
+            request.ending = r.Ending.PLAY_OVER
+            raise
+        finally:
+            request.ended_at = self.world.now()
+            if request.ending is not r.Ending.ANSWERED:
+                self._close()
+
+    async def _exchange(self, request):
+        http = h11.Connection(h11.CLIENT)
+        method = "GET" if request.safe else "POST"
+        head = h11.Request(
+            method=method,
+            target=request.path,
+            headers=[
+                ("Host", "h.example"),
+                ("X-Api-Key", request.key),
+                ("X-Banyanshed-Request-Id", request.id),
+                ("X-Banyanshed-Deadline-Ms", "3000"),
+                ("X-Banyanshed-Affinity-Key", request.path),
+                ("Content-Length", "0"),
+            ],
+        )
+        self.writer.write(http.send(head) + http.send(h11.EndOfMessage()))
+        leaves = self.may_leave and self.world.rng.random() < 0.03
+        reading = asyncio.ensure_future(self._read(http, request))
+        patience_s = self.world.rng.uniform(0.0, 0.08) if leaves else 5.0
+        try:
+            done, _ = await asyncio.wait({reading}, timeout=patience_s)
+        except asyncio.CancelledError:
+            reading.cancel()
+            raise
+        if done:
+            reading.result()
+            return
+        reading.cancel()
+        await asyncio.gather(reading, return_exceptions=True)
+        request.ending = r.Ending.LEFT if leaves else r.Ending.PENDING
+
+    async def _read(self, http, request):
+        body = b""
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await self.reader.read(65536))
+            elif isinstance(event, h11.ConnectionClosed):
+                request.ending = r.Ending.CLOSED
+                return
+            elif isinstance(event, h11.Response):
+                self._note_head(request, event)
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                request.body = body
+                request.ending = r.Ending.ANSWERED
+                if http.their_state is h11.MUST_CLOSE:
+                    self._close()
+                return
+
+    def _note_head(self, request, event):
+        headers = {name: value.decode() for name, value in event.headers}
+        request.status = event.status_code
+        stamp = headers.get(b"x-banyanshed-response-stamp", "")
+        request.stamp = stamp.removeprefix("stamp-")
+        retry_after = headers.get(b"retry-after")
+        if retry_after is not None:
+            request.retry_after_s = float(retry_after)
+
+    def _close(self):
+        if self.writer is not None:
+            self.writer.transport.abort()
+        self.reader = self.writer = None
+
+
+async def ask(ip, port, target):
+    """Returns the status of an answer."""
+    async with asyncio.timeout(1.0):
+        reader, writer = await asyncio.open_connection(ip, port)
+        with contextlib.closing(writer):
+            writer.write(
+                f"GET {target} HTTP/1.1\r\nHost: x\r\n"
+                "Connection: close\r\n\r\n".encode()
+            )
+            line = await reader.readline()
+            return int(line.split()[1]) if line else 0
+
+
+def read_log(path):
+    """Returns a host's log lines."""
+    lines = path.read_text().splitlines()
+    return [json.loads(line) for line in lines if line.startswith("{")]
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -134,7 +134,7 @@
         fleet.store.fault = store_lib.Fault.BUSY
         for host in fleet.hosts.values():
             await fleet.await_true(lambda known=host: known.applier.in_outage)
-        fleet.store.fault = None
+        fleet.store.fault = store_lib.Fault.NONE
         await fleet.store.put("op", "config", gateway_fleet.configuration(100))
         for host in fleet.hosts.values():
             await fleet.await_true(
