Take the witness's exchange and the rights of requests out of leases

Cause: leases.py had 914 lines with three jobs: shares under lease, the exchange with the witness, and what requests are given.

--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -18,6 +18,7 @@
 
 import xxhash
 
+from banyanshed import admissions
 from banyanshed import buckets
 from banyanshed import exceptions
 from banyanshed import leases
@@ -353,7 +354,7 @@
 
     def admit(
         self, tenant: models.TenantId, host: models.HostId
-    ) -> leases.Admission:
+    ) -> admissions.Admission:
         """Returns the policy's decision."""
         now_s = self.simulation.now_s
         holder = self.simulation.holders.get(host)
@@ -366,8 +367,8 @@
             bucket = buckets.TokenBucket(part, part, part, now_s)
             self.static[tenant, host] = bucket
         if bucket.take(now_s):
-            return leases.ADMITTED
-        return leases.Admission(False, bucket.wait_s())
+            return admissions.ADMITTED
+        return admissions.Admission(False, bucket.wait_s())
 
     def kill(self) -> None:
         """Kills the busiest host; its callers go elsewhere at once."""
@@ -490,7 +491,7 @@
         self.simulation.at(answer_s, lambda: self.end(host, unit))
         return True
 
-    def end(self, host: models.HostId, unit: leases.Unit) -> None:
+    def end(self, host: models.HostId, unit: admissions.Unit) -> None:
         """Ends a request and starts one that waits."""
         self.note(-1)
         self.simulation.holders[host].release(self.simulation.now_s, unit)
--- a/src/banyanshed/entry.py
+++ b/src/banyanshed/entry.py
@@ -318,7 +318,9 @@
         "phase": holder.phase.value,
         "session": holder.session,
         "valid": holder.valid(now_s),
-        "witnesses": sorted(witness.host for witness in holder.named),
+        "witnesses": sorted(
+            witness.host for witness in holder.witnessing.named
+        ),
         "held": held,
         "adopted": [_shares(adopted, now_s) for adopted in holder.adopted],
     }
--- a/src/banyanshed/handover.py
+++ b/src/banyanshed/handover.py
@@ -139,10 +139,10 @@
 def describe(holder: leases.ShareHolder, now_s: float) -> GivenSession:
     """Returns a frozen holder's session as it is now."""
     witnesses = []
-    for witness in holder.named:
-        acked_s = holder.acked_s.get(witness)
+    for witness in holder.witnessing.named:
+        acked_s = holder.witnessing.acked_s.get(witness)
         age_s = None if acked_s is None else (now_s - acked_s) * CLOCK_MARGIN
-        waived = witness in holder.waived
+        waived = witness in holder.witnessing.waived
         witnesses.append(GivenWitness(witness, age_s, waived))
     rates: list[GivenRate] = []
     units: list[GivenUnits] = []
@@ -161,7 +161,7 @@
         holder.incarnation,
         holder.session,
         holder.session_version,
-        holder.term,
+        holder.witnessing.term,
         max(0.0, (holder.lease_end_s - now_s) * holdings.SURE_PART),
         tuple(witnesses),
         tuple(rates),
@@ -214,14 +214,16 @@
         self.witness.waive()
         self.session = given.session
         self.session_version = given.version
-        self.term = given.term
+        self.witnessing.term = given.term
         self.lease_end_s = opened_s + given.remaining_s
         for one in given.witnesses:
-            self.named.add(one.witness)
+            self.witnessing.named.add(one.witness)
             if one.waived:
-                self.waived.add(one.witness)
+                self.witnessing.waived.add(one.witness)
             if one.acked_age_s is not None:
-                self.acked_s[one.witness] = opened_s - one.acked_age_s
+                self.witnessing.acked_s[one.witness] = (
+                    opened_s - one.acked_age_s
+                )
         for rate in given.rates:
             self.held[rate.limit.key] = holdings.HeldRate(
                 rate.limit,
@@ -355,7 +357,7 @@
         """
         if self.receiver is not None:
             return [peer for peer in peers if peer.host == self.receiver[0]]
-        witnesses = {witness.host for witness in self.holder.named}
+        witnesses = {witness.host for witness in self.holder.witnessing.named}
         return sorted(
             peers,
             key=lambda peer: (peer.region != region, peer.host in witnesses),
--- a/src/banyanshed/leases.py
+++ b/src/banyanshed/leases.py
@@ -12,10 +12,12 @@
 import random
 from typing import Any
 
+from banyanshed import admissions
 from banyanshed import holdings
 from banyanshed import models
 from banyanshed import sessions
 from banyanshed import shares
+from banyanshed import witnessing
 
 QUIET_READ_S = 2.0
 BUSY_READ_S = 0.25
@@ -41,40 +43,6 @@
 Request = ReadRequest | models.Transaction
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admission:
-    """Whether a request is within its tenant's rate.
-
-    Attributes:
-        admitted: It may run.
-        retry_after_s: When to come back, if refused.
-    """
-
-    admitted: bool
-    retry_after_s: float | None = None
-
-
-ADMITTED = Admission(True)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unit:
-    """The right to one request at work, until released."""
-
-    key: shares.LimitKey
-    session: shares.SessionId
-    at_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reservation:
-    """Bytes of a link set aside for one answer, until settled."""
-
-    key: shares.LimitKey
-    session: shares.SessionId
-    size: float
-
-
 class Phase(enum.Enum):
     """What a holder does."""
 
@@ -158,16 +126,8 @@
         self.valid_until_s = -math.inf
         self.lease_end_s = -math.inf
         self.granted_s = self.lease_s
-        self.named: set[sessions.WitnessId] = set()
-        self.candidate = models.HostId("")
-        self.term = 0
-        self.candidate_s = -math.inf
+        self.witnessing = witnessing.Witnessing(self.rng, self.peers)
         self.uncertain_ends: dict[str, tuple[float, sessions.Session]] = {}
-        self.acked_s: dict[sessions.WitnessId, float] = {}
-        self.waived: set[sessions.WitnessId] = set()
-        self.sequence = 0
-        self.sent_s: dict[int, float] = {}
-        self.next_heartbeat_s = 0.0
         for key, held in self.held.items():
             empty = holdings.make_held(held.limit)
             empty.refused = held.refused
@@ -218,6 +178,7 @@
     def set_peers(self, peers: Sequence[models.HostId]) -> None:
         """Sets the live hosts that may be this host's witness."""
         self.peers = tuple(host for host in peers if host != self.host)
+        self.witnessing.peers = self.peers
 
     def all(self) -> "list[ShareHolder]":
         """Returns this holder and those that this host has adopted."""
@@ -234,31 +195,31 @@
 
     def admit(
         self, now_s: float, tenant: models.TenantId, cost: float = 1.0
-    ) -> Admission:
+    ) -> admissions.Admission:
         """Returns whether a tenant's request is within its rate."""
         held = self.tenants.get(tenant)
         if held is None:
-            return Admission(False, DEFAULT_RETRY_AFTER_S)
+            return admissions.Admission(False, DEFAULT_RETRY_AFTER_S)
         held.meter.count += cost
         if now_s < self.valid_until_s and held.bucket.take(now_s, cost):
-            return ADMITTED
+            return admissions.ADMITTED
         if held.refused == 0:
             self._hurry(now_s)
         held.refused += cost
         for holder in self.adopted:
             if holder.admit(now_s, tenant, cost).admitted:
-                return ADMITTED
+                return admissions.ADMITTED
         wait_s = held.bucket.wait_s(cost)
         if wait_s is None or now_s >= self.valid_until_s:
             wait_s = DEFAULT_RETRY_AFTER_S
-        return Admission(False, max(wait_s, 0.001))
+        return admissions.Admission(False, max(wait_s, 0.001))
 
     def acquire(
         self,
         now_s: float,
         service: models.ServiceId,
         region: models.RegionId,
-    ) -> Unit | None:
+    ) -> admissions.Unit | None:
         """Returns a unit of a placement, or None when none is free here."""
         held = self.placements.get((service, region))
         if held is None:
@@ -269,7 +230,7 @@
             held.in_use = in_use + 1
             if in_use >= held.peak.current:
                 held.peak.current = in_use + 1
-            return Unit(held.limit.key, self.session, now_s)
+            return admissions.Unit(held.limit.key, self.session, now_s)
         if held.refused == 0:
             self._hurry(now_s)
         held.refused += 1
@@ -294,7 +255,7 @@
             return adopted
         return max(0, held.target - held.in_use) + adopted
 
-    def release(self, now_s: float, unit: Unit) -> None:
+    def release(self, now_s: float, unit: admissions.Unit) -> None:
         """Takes a unit back when its request has ended."""
         if unit.session != self.session:
             for holder in self.adopted:
@@ -314,14 +275,14 @@
         source: models.RegionId,
         target: models.RegionId,
         size: float,
-    ) -> Reservation | None:
+    ) -> admissions.Reservation | None:
         """Sets bytes of a link aside; None when too few are left."""
         held = self.links.get((source, target))
         if held is None:
             return None
         held.meter.count += size
         if now_s < self.valid_until_s and held.bucket.reserve(now_s, size):
-            return Reservation(held.limit.key, self.session, size)
+            return admissions.Reservation(held.limit.key, self.session, size)
         if held.refused == 0:
             self._hurry(now_s)
         held.refused += size
@@ -332,7 +293,7 @@
         return None
 
     def settle_bytes(
-        self, now_s: float, reservation: Reservation, used: float
+        self, now_s: float, reservation: admissions.Reservation, used: float
     ) -> None:
         """Ends a reservation; bytes that were not sent are put back."""
         if reservation.session != self.session:
@@ -346,7 +307,9 @@
         held.bucket.settle(now_s, reservation.size, used)
 
     def valid(
-        self, now_s: float, held: Unit | Reservation | None = None
+        self,
+        now_s: float,
+        held: admissions.Unit | admissions.Reservation | None = None,
     ) -> bool:
         """Returns whether shares may be spent; checked right before sending.
 
@@ -553,7 +516,7 @@
                 pending.conditions[own_key] = row.version
                 yield models.Write(own_key, None)
         elif self._session_due(now_s):
-            witness = self._next_witness(now_s)
+            witness = self.witnessing.next_witness(now_s)
             lease_s = self._next_lease_s(witness)
             session = sessions.Session(
                 self.host,
@@ -581,7 +544,7 @@
     def _next_lease_s(self, witness: sessions.WitnessId | None) -> float:
         """Returns the length of the lease that the session row gives."""
         alone = self.session_version != 0 and not self.peers
-        if witness is not None or self.named or alone:
+        if witness is not None or self.witnessing.named or alone:
             return self.lease_s
         return min(self.lease_s, UNWITNESSED_LEASE_S)
 
@@ -591,10 +554,10 @@
             return True
         if now_s > self.lease_end_s - self.granted_s * (1 - RENEW_PART):
             return True
-        witness = self._next_witness(now_s)
+        witness = self.witnessing.next_witness(now_s)
         if witness is None:
             return False
-        return self.named != {witness}
+        return self.witnessing.named != {witness}
 
     def _closing_writes(
         self, now_s: float, moment: shares.Moment, pending: Pending
@@ -702,7 +665,7 @@
         self.session_version = version
         self.granted_s = session.lease_s
         self.lease_end_s = max(self.lease_end_s, sent_s + self.granted_s)
-        self.named = {session.witness} if session.witness else set()
+        self.witnessing.named = {session.witness} if session.witness else set()
         self._update_validity()
 
     def on_commit(self, now_s: float, commit: models.Commit) -> None:
@@ -774,7 +737,7 @@
                 pending.session,
             )
             if pending.session.witness:
-                self.named.add(pending.session.witness)
+                self.witnessing.named.add(pending.session.witness)
             self._update_validity()
 
     def _undo(self, now_s: float) -> None:
@@ -807,76 +770,17 @@
         if self.phase is not Phase.HOLDING or self.session_version == 0:
             self.valid_until_s = -math.inf
             return
-        until_s = self.lease_end_s
-        for witness in self.named - self.waived:
-            acked_s = self.acked_s.get(witness, -math.inf)
-            until_s = min(until_s, acked_s + sessions.WITNESS_TIMEOUT_S)
-        self.valid_until_s = until_s
-
-    def _next_witness(self, now_s: float) -> sessions.WitnessId | None:
-        """Returns the witness that the session row should name.
-
-        Only a host that has just acknowledged a heartbeat is named, so that
-        naming it does not interrupt the use of shares.
-        """
-        named = [one for one in self.named if self._is_prompt(now_s, one)]
-        if named:
-            return named[0]
-        for witness in self.acked_s:
-            if witness.host != self.candidate or witness.term != self.term:
-                continue
-            if self._is_prompt(now_s, witness):
-                return witness
-        return None
-
-    def _is_prompt(self, now_s: float, witness: sessions.WitnessId) -> bool:
-        """Returns whether a witness that stays has answered just now."""
-        if witness in self.waived:
-            return False
-        acked_s = self.acked_s.get(witness, -math.inf)
-        return acked_s >= now_s - sessions.WITNESS_DOUBT_S
+        self.valid_until_s = min(
+            self.lease_end_s, self.witnessing.valid_until_s()
+        )
 
     def heartbeats(
         self, now_s: float
     ) -> tuple[tuple[models.HostId, sessions.Heartbeat], ...]:
         """Returns the heartbeats to send now, with their receivers."""
-        if now_s < self.next_heartbeat_s or self.phase in (
-            Phase.RETURNED,
-            Phase.GIVEN,
-        ):
+        if self.phase in (Phase.RETURNED, Phase.GIVEN):
             return ()
-        self.next_heartbeat_s = now_s + sessions.HEARTBEAT_S
-        terms = {
-            (witness.host, witness.term) for witness in self.named - self.waived
-        }
-        if self.peers and not self._has_prompt_witness(now_s):
-            self._choose_candidate(now_s)
-            terms.add((self.candidate, self.term))
-        self.sequence += 1
-        self.sent_s[self.sequence] = now_s
-        self.sent_s.pop(self.sequence - 64, None)
-        return tuple(
-            (host, sessions.Heartbeat(self.session, term, self.sequence))
-            for host, term in sorted(terms)
-        )
-
-    def _has_prompt_witness(self, now_s: float) -> bool:
-        """Returns whether the session has a single witness that answers."""
-        return len(self.named) == 1 and all(
-            self._is_prompt(now_s, witness) for witness in self.named
-        )
-
-    def _choose_candidate(self, now_s: float) -> None:
-        """Keeps a peer that may become the witness; another after a time."""
-        stale = now_s > self.candidate_s + sessions.WITNESS_DOUBT_S
-        if not stale and self.candidate in self.peers:
-            return
-        avoided = {witness.host for witness in self.named}
-        avoided.add(self.candidate)
-        choices = [host for host in self.peers if host not in avoided]
-        self.candidate = self.rng.choice(choices or self.peers)
-        self.candidate_s = now_s
-        self.term += 1
+        return self.witnessing.heartbeats(now_s, self.session)
 
     def on_acknowledgement(
         self, now_s: float, answer: sessions.Acknowledgement
@@ -884,28 +788,12 @@
         """Takes a witness's answer to a heartbeat, late ones included."""
         if answer.session != self.session:
             return
-        sent_s = self.sent_s.get(answer.sequence)
-        if sent_s is None:
-            return
-        if not answer.accepted:
-            self._on_refusal(now_s, answer.witness)
-            return
-        last_s = self.acked_s.get(answer.witness, -math.inf)
-        self.acked_s[answer.witness] = max(last_s, sent_s)
-        if answer.witness.term == self.term:
-            self.candidate_s = now_s
-        if answer.waived:
-            self.waived.add(answer.witness)
-        if answer.witness not in self.named:
-            self._hurry(now_s)
-        self._update_validity()
-
-    def _on_refusal(self, now_s: float, witness: sessions.WitnessId) -> None:
-        """Ends the session when a named witness treats it as ended."""
-        self.acked_s.pop(witness, None)
-        if witness in self.named and witness not in self.waived:
+        news = self.witnessing.on_acknowledgement(now_s, answer)
+        if news is witnessing.News.SESSION_ENDED:
             self._open_session()
+        if news is not witnessing.News.NONE:
             self._hurry(now_s)
+        self._update_validity()
 
     def on_heartbeat(
         self, now_s: float, heartbeat: sessions.Heartbeat
--- a/src/banyanshed/traffic.py
+++ b/src/banyanshed/traffic.py
@@ -12,6 +12,7 @@
 import random
 from typing import Any
 
+from banyanshed import admissions
 from banyanshed import backends
 from banyanshed import configuration
 from banyanshed import events
@@ -42,7 +43,7 @@
 PROBE_INTERVAL_S = 1.0
 PROBE_JITTER = 0.1
 
-Placement = routing.Placement[leases.Unit, leases.Reservation]
+Placement = routing.Placement[admissions.Unit, admissions.Reservation]
 
 
 @dataclasses.dataclass
@@ -122,7 +123,7 @@
         self.closed = False
         self.serving: dict[str, Serving] = {}
         self.backends = backends.Backends(settings.host_id(), rng)
-        self.router: routing.Router[leases.Unit, leases.Reservation] = (
+        self.router: routing.Router[admissions.Unit, admissions.Reservation] = (
             routing.Router(
                 models.RegionId(settings.region), shares, self.backends
             )
--- /dev/null
+++ b/src/banyanshed/witnessing.py
@@ -0,0 +1,147 @@
+"""A session's exchange with its witness; no input or output.
+
+The witness is a peer that must have acknowledged a heartbeat lately for the
+session's shares to be spent. The session row names it; another peer is won as
+a candidate while the named one does not answer.
+"""
+
+from collections.abc import Sequence
+import enum
+import math
+import random
+
+from banyanshed import models
+from banyanshed import sessions
+from banyanshed import shares
+
+# Heartbeats whose acknowledgement is still taken.
+MAX_UNANSWERED = 64
+
+
+class News(enum.Enum):
+    """What an acknowledgement means for the session."""
+
+    NONE = "none"
+    NEW_WITNESS = "new_witness"
+    SESSION_ENDED = "session_ended"
+
+
+class Witnessing:
+    """The witnesses of one session.
+
+    Attributes:
+        named: Witnesses that the session row names, or may name.
+        waived: Those of them that gave up their right to end the session.
+        acked_s: When the last acknowledged heartbeat was sent, by witness.
+        term: Number of the candidate, to tell its answers from former ones.
+    """
+
+    def __init__(self, rng: random.Random, peers: Sequence[models.HostId]):
+        """Starts without a witness; peers may become one."""
+        self.rng = rng
+        self.peers = tuple(peers)
+        self.named: set[sessions.WitnessId] = set()
+        self.waived: set[sessions.WitnessId] = set()
+        self.acked_s: dict[sessions.WitnessId, float] = {}
+        self.candidate = models.HostId("")
+        self.candidate_s = -math.inf
+        self.term = 0
+        self.sequence = 0
+        self.sent_s: dict[int, float] = {}
+        self.next_heartbeat_s = 0.0
+
+    def valid_until_s(self) -> float:
+        """Returns until when the witnesses let shares be spent."""
+        until_s = math.inf
+        for witness in self.named - self.waived:
+            acked_s = self.acked_s.get(witness, -math.inf)
+            until_s = min(until_s, acked_s + sessions.WITNESS_TIMEOUT_S)
+        return until_s
+
+    def next_witness(self, now_s: float) -> sessions.WitnessId | None:
+        """Returns the witness that the session row should name.
+
+        Only a host that has just acknowledged a heartbeat is named, so that
+        naming it does not interrupt the use of shares.
+        """
+        named = [one for one in self.named if self._is_prompt(now_s, one)]
+        if named:
+            return named[0]
+        for witness in self.acked_s:
+            if witness.host != self.candidate or witness.term != self.term:
+                continue
+            if self._is_prompt(now_s, witness):
+                return witness
+        return None
+
+    def heartbeats(
+        self, now_s: float, session: shares.SessionId
+    ) -> tuple[tuple[models.HostId, sessions.Heartbeat], ...]:
+        """Returns the heartbeats to send now, with their receivers."""
+        if now_s < self.next_heartbeat_s:
+            return ()
+        self.next_heartbeat_s = now_s + sessions.HEARTBEAT_S
+        terms = {
+            (witness.host, witness.term) for witness in self.named - self.waived
+        }
+        if self.peers and not self._has_prompt_witness(now_s):
+            self._choose_candidate(now_s)
+            terms.add((self.candidate, self.term))
+        self.sequence += 1
+        self.sent_s[self.sequence] = now_s
+        self.sent_s.pop(self.sequence - MAX_UNANSWERED, None)
+        return tuple(
+            (host, sessions.Heartbeat(session, term, self.sequence))
+            for host, term in sorted(terms)
+        )
+
+    def on_acknowledgement(
+        self, now_s: float, answer: sessions.Acknowledgement
+    ) -> News:
+        """Takes a witness's answer to a heartbeat, late ones included."""
+        sent_s = self.sent_s.get(answer.sequence)
+        if sent_s is None:
+            return News.NONE
+        if not answer.accepted:
+            return self._on_refusal(answer.witness)
+        last_s = self.acked_s.get(answer.witness, -math.inf)
+        self.acked_s[answer.witness] = max(last_s, sent_s)
+        if answer.witness.term == self.term:
+            self.candidate_s = now_s
+        if answer.waived:
+            self.waived.add(answer.witness)
+        if answer.witness not in self.named:
+            return News.NEW_WITNESS
+        return News.NONE
+
+    def _on_refusal(self, witness: sessions.WitnessId) -> News:
+        """Ends the session when a named witness treats it as ended."""
+        self.acked_s.pop(witness, None)
+        if witness in self.named and witness not in self.waived:
+            return News.SESSION_ENDED
+        return News.NONE
+
+    def _is_prompt(self, now_s: float, witness: sessions.WitnessId) -> bool:
+        """Returns whether a witness that stays has answered just now."""
+        if witness in self.waived:
+            return False
+        acked_s = self.acked_s.get(witness, -math.inf)
+        return acked_s >= now_s - sessions.WITNESS_DOUBT_S
+
+    def _has_prompt_witness(self, now_s: float) -> bool:
+        """Returns whether the session has a single witness that answers."""
+        return len(self.named) == 1 and all(
+            self._is_prompt(now_s, witness) for witness in self.named
+        )
+
+    def _choose_candidate(self, now_s: float) -> None:
+        """Keeps a peer that may become the witness; another after a time."""
+        stale = now_s > self.candidate_s + sessions.WITNESS_DOUBT_S
+        if not stale and self.candidate in self.peers:
+            return
+        avoided = {witness.host for witness in self.named}
+        avoided.add(self.candidate)
+        choices = [host for host in self.peers if host not in avoided]
+        self.candidate = self.rng.choice(choices or self.peers)
+        self.candidate_s = now_s
+        self.term += 1
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from banyanshed import admissions
 from banyanshed import exceptions
 from banyanshed import leases
 from banyanshed import models
@@ -41,8 +42,8 @@
     """A request at a backend server, which ends whatever its host does."""
 
     ends_s: float
-    unit: leases.Unit | None
-    reservation: leases.Reservation | None
+    unit: admissions.Unit | None
+    reservation: admissions.Reservation | None
     used: float
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -176,10 +176,10 @@
     giver, receiver, now_s = make_pair(table)
     witness = sessions.WitnessId(models.HostId("w"), "1", 3)
     gone = sessions.WitnessId(models.HostId("x"), "1", 4)
-    giver.named = {witness, gone}
-    giver.waived = {gone}
-    giver.acked_s = {witness: now_s - 2}
-    giver.term = 4
+    giver.witnessing.named = {witness, gone}
+    giver.witnessing.waived = {gone}
+    giver.witnessing.acked_s = {witness: now_s - 2}
+    giver.witnessing.term = 4
     giving = stop(giver, now_s)
     opening = handover.Opening(receiver.incarnation, GIVER_OFFSET_S)
     content = giving.start(now_s + 1, receiver.host, opening)
@@ -188,7 +188,7 @@
     assert adoptions.take(GIVER_OFFSET_S + 1.5, opening, content)
     adopted = receiver.adopted[0]
     assert lease_s * 0.99 < adopted.lease_end_s - GIVER_OFFSET_S < lease_s
-    acked_s = adopted.acked_s[witness]
+    acked_s = adopted.witnessing.acked_s[witness]
     assert GIVER_OFFSET_S - 3.1 < acked_s < GIVER_OFFSET_S - 3
     assert adopted.valid_until_s == acked_s + sessions.WITNESS_TIMEOUT_S
     beats = dict(adopted.heartbeats(GIVER_OFFSET_S + 1.6))
@@ -256,7 +256,7 @@
 
 def test_peers_of_the_region_that_are_no_witnesses_come_first():
     holder = base.make_holder("a")
-    holder.named = {sessions.WitnessId(models.HostId("w"), "1", 1)}
+    holder.witnessing.named = {sessions.WitnessId(models.HostId("w"), "1", 1)}
     peers = [
         models.ListedHost(
             models.HostId(name), models.RegionId(region), models.ZoneId("z"),
