Group the daemon's modules: decisions in core, transports in edges

Cause: 62 flat modules did not show which decide and which do input and output. Change: modules moved; imports follow. Tests: test_layout: core and steering import no input or output, the platform folder none of the decisions.

--- a/benchmarks/blocks.py
+++ b/benchmarks/blocks.py
@@ -10,9 +10,9 @@
 import time
 import tracemalloc
 
-from banyanshed import blocks
-from banyanshed import configuration as configurations
-from banyanshed import models
+from banyanshed.core import blocks
+from banyanshed.core import configuration as configurations
+from banyanshed.core import models
 
 BLOCKS = 580_000
 SITES = 93
--- a/benchmarks/choices.py
+++ b/benchmarks/choices.py
@@ -19,10 +19,10 @@
 import random
 import time
 
-from banyanshed import backends
-from banyanshed import models
-from banyanshed import requests
-from banyanshed import rows
+from banyanshed.core import backends
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.core import rows
 
 SERVICE = models.ServiceId("board")
 REGION = models.RegionId("sask")
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -17,11 +17,11 @@
 
 from hdrh import histogram
 
-from banyanshed import claims
-from banyanshed import commits
-from banyanshed import ledger as ledgers
-from banyanshed import models
-from banyanshed import requests
+from banyanshed.core import claims
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.edges import commits
+from banyanshed.edges import ledger as ledgers
 from tests import fakes
 
 BOOKINGS_PER_THREAD = 10
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -17,7 +17,7 @@
 import sys
 import time
 
-from banyanshed import shares
+from banyanshed.core import shares
 from standins import fleet as fleets
 from standins import sites
 
--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -18,14 +18,14 @@
 
 import xxhash
 
-from banyanshed import admissions
-from banyanshed import buckets
 from banyanshed import exceptions
-from banyanshed import leases
-from banyanshed import lookups
-from banyanshed import models
-from banyanshed import sessions
-from banyanshed import shares
+from banyanshed.core import admissions
+from banyanshed.core import buckets
+from banyanshed.core import leases
+from banyanshed.core import lookups
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
 from standins import memory
 
 HOSTS = 25
--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -16,9 +16,9 @@
 from hdrh import histogram
 import urllib3
 
-from banyanshed import forwarding
-from banyanshed import models
-from banyanshed import requests
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.edges import forwarding
 
 ROUNDS = 4000
 BODY_BYTES = 2048
--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -18,12 +18,12 @@
 
 import capnp
 
-from banyanshed import codec
-from banyanshed import gossip
-from banyanshed import models
-from banyanshed import peers
-from banyanshed import sessions
-from banyanshed import shares
+from banyanshed.core import gossip
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
+from banyanshed.edges import codec
+from banyanshed.edges import peers
 from benchmarks import wires
 
 DELAY_S = (0.01, 0.06)
--- a/benchmarks/lookups.py
+++ b/benchmarks/lookups.py
@@ -6,9 +6,9 @@
 import random
 import time
 
-from banyanshed import blocks
-from banyanshed import lookups
-from banyanshed import models
+from banyanshed.core import blocks
+from banyanshed.core import lookups
+from banyanshed.core import models
 
 REGIONS = 4
 ZONES = 9
--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -8,9 +8,9 @@
 import time
 import tracemalloc
 
-from banyanshed import configuration
-from banyanshed import models
-from banyanshed import rows
+from banyanshed.core import configuration
+from banyanshed.core import models
+from banyanshed.core import rows
 
 ROWS = 20_000
 SIZE = 580_000
--- a/benchmarks/wires.py
+++ b/benchmarks/wires.py
@@ -10,10 +10,10 @@
 import random
 from typing import Any
 
-from banyanshed import freshness
-from banyanshed import gossip
-from banyanshed import membership
-from banyanshed import models
+from banyanshed.core import freshness
+from banyanshed.core import gossip
+from banyanshed.core import membership
+from banyanshed.core import models
 
 STORE_REGION = models.RegionId("region-0")
 MAX_KEY_AGE_S = 4.0
--- a/src/banyanshed/cli.py
+++ b/src/banyanshed/cli.py
@@ -44,8 +44,8 @@
 from banyanshed import consoles
 from banyanshed import exceptions
 from banyanshed import explanations
-from banyanshed import rows
 from banyanshed import settings
+from banyanshed.core import rows
 from banyanshed.platform import settings as platform_settings
 
 TOKEN_VARIABLE = "BANYANSHED_TOKEN"
--- /dev/null
+++ b/src/banyanshed/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the daemon; no input or output, time as arguments."""
--- a/src/banyanshed/admissions.py
+++ b/src/banyanshed/core/admissions.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from banyanshed import shares
+from banyanshed.core import shares
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/banyanshed/backends.py
+++ b/src/banyanshed/core/backends.py
@@ -16,10 +16,10 @@
 
 import xxhash
 
-from banyanshed import models
-from banyanshed import requests
-from banyanshed import rows
-from banyanshed import slots
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.core import rows
+from banyanshed.core import slots
 
 REPORT_LIFE_S = 3.0
 SLOW_START_S = 10.0
--- a/src/banyanshed/blocks.py
+++ b/src/banyanshed/core/blocks.py
@@ -14,7 +14,7 @@
 import ipaddress
 from typing import Any
 
-from banyanshed import models
+from banyanshed.core import models
 
 IPV4_BITS = 32
 IPV6_BITS = 128
--- a/src/banyanshed/claims.py
+++ b/src/banyanshed/core/claims.py
@@ -20,8 +20,8 @@
 import pydantic
 
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import requests
+from banyanshed.core import models
+from banyanshed.core import requests
 
 CLAIM_PREFIX = "claim/"
 CLAIM_RETENTION_S = 24 * 3600.0
--- a/src/banyanshed/configuration.py
+++ b/src/banyanshed/core/configuration.py
@@ -16,10 +16,10 @@
 
 import pydantic
 
-from banyanshed import blocks as block_maps
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import rows
+from banyanshed.core import blocks as block_maps
+from banyanshed.core import models
+from banyanshed.core import rows
 
 BLOCK_PREFIX = rows.CONFIG_PREFIX + "block/"
 RECENT_ROWS = 4096
--- a/src/banyanshed/deltas.py
+++ b/src/banyanshed/core/deltas.py
@@ -3,9 +3,9 @@
 import json
 import zlib
 
-from banyanshed import configuration
 from banyanshed import exceptions
-from banyanshed import models
+from banyanshed.core import configuration
+from banyanshed.core import models
 
 MAX_DELTA_BYTES = 256 << 20
 COMPRESSION = 1
--- a/src/banyanshed/edits.py
+++ b/src/banyanshed/core/edits.py
@@ -5,10 +5,10 @@
 import functools
 
 from banyanshed import addresses
-from banyanshed import configuration as configurations
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import rows
+from banyanshed.core import configuration as configurations
+from banyanshed.core import models
+from banyanshed.core import rows
 
 RECENT_CHANGES = 32
 
--- a/src/banyanshed/entry.py
+++ b/src/banyanshed/core/entry.py
@@ -9,22 +9,22 @@
 import random
 from typing import Any
 
-from banyanshed import blocks
-from banyanshed import configuration
-from banyanshed import freshness
-from banyanshed import gossip
-from banyanshed import handover
-from banyanshed import holdings
-from banyanshed import leases
-from banyanshed import lookups
-from banyanshed import membership
-from banyanshed import models
-from banyanshed import problems
-from banyanshed import rows
-from banyanshed import sessions
 from banyanshed import settings as settings_module
-from banyanshed import shares
-from banyanshed import traffic
+from banyanshed.core import blocks
+from banyanshed.core import configuration
+from banyanshed.core import freshness
+from banyanshed.core import gossip
+from banyanshed.core import handover
+from banyanshed.core import holdings
+from banyanshed.core import leases
+from banyanshed.core import lookups
+from banyanshed.core import membership
+from banyanshed.core import models
+from banyanshed.core import problems
+from banyanshed.core import rows
+from banyanshed.core import sessions
+from banyanshed.core import shares
+from banyanshed.core import traffic
 
 MAX_INCARNATION = (1 << 64) - 1
 
--- a/src/banyanshed/events.py
+++ b/src/banyanshed/core/events.py
@@ -3,8 +3,11 @@
 from collections.abc import Callable
 import dataclasses
 
-from banyanshed import models
-from banyanshed import requests
+from banyanshed.core import models
+from banyanshed.core import requests
+
+LAPSED_CODE = "lease_lapsed"
+"""Code of an attempt that was not sent, as its shares had lapsed."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -92,3 +95,22 @@
 
 
 Event = RequestArrived | PlacementWanted | AttemptEnded | RequestEnded
+
+
+@dataclasses.dataclass(frozen=True)
+class ProbeResult:
+    """What a backend server's health and load endpoints said.
+
+    Attributes:
+        state: Live or leaving; None when it could not be learnt.
+        in_flight: Requests at work; None when unknown.
+        slots: Requests it works on at once; None when unknown.
+        refused: Nothing listens at the address.
+        code: Stable code of a failure; None when both were read.
+    """
+
+    state: models.BackendState | None
+    in_flight: int | None = None
+    slots: int | None = None
+    refused: bool = False
+    code: str | None = None
--- a/src/banyanshed/freshness.py
+++ b/src/banyanshed/core/freshness.py
@@ -13,7 +13,7 @@
 import dataclasses
 import math
 
-from banyanshed import models
+from banyanshed.core import models
 
 MAX_WORDS = 2
 
--- a/src/banyanshed/gossip.py
+++ b/src/banyanshed/core/gossip.py
@@ -13,9 +13,9 @@
 import random
 from typing import Any
 
-from banyanshed import freshness
-from banyanshed import membership
-from banyanshed import models
+from banyanshed.core import freshness
+from banyanshed.core import membership
+from banyanshed.core import models
 
 INTERVAL_S = 1.0
 SUSPECT_AFTER_S = 2.0
--- a/src/banyanshed/handover.py
+++ b/src/banyanshed/core/handover.py
@@ -18,13 +18,13 @@
 
 import pydantic
 
-from banyanshed import buckets
 from banyanshed import exceptions
-from banyanshed import holdings
-from banyanshed import leases
-from banyanshed import models
-from banyanshed import sessions
-from banyanshed import shares
+from banyanshed.core import buckets
+from banyanshed.core import holdings
+from banyanshed.core import leases
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
 
 MAX_ADOPTED = 16
 MAX_TAKEN = 4096
--- a/src/banyanshed/holdings.py
+++ b/src/banyanshed/core/holdings.py
@@ -9,9 +9,9 @@
 import math
 from typing import Any
 
-from banyanshed import buckets
-from banyanshed import sessions
-from banyanshed import shares
+from banyanshed.core import buckets
+from banyanshed.core import sessions
+from banyanshed.core import shares
 
 SURE_PART = 1 - 2 * sessions.CLOCK_DRIFT
 """A rate on a fast clock times this stays within the rate."""
--- a/src/banyanshed/keys.py
+++ b/src/banyanshed/core/keys.py
@@ -7,7 +7,7 @@
 import secrets
 import urllib.parse
 
-from banyanshed import models
+from banyanshed.core import models
 
 KEY_PREFIX = "bsk_"
 KEY_BYTES = 32
--- a/src/banyanshed/leases.py
+++ b/src/banyanshed/core/leases.py
@@ -12,12 +12,12 @@
 import random
 from typing import Any
 
-from banyanshed import admissions
-from banyanshed import holdings
-from banyanshed import models
-from banyanshed import sessions
-from banyanshed import shares
-from banyanshed import witnessing
+from banyanshed.core import admissions
+from banyanshed.core import holdings
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
+from banyanshed.core import witnessing
 
 QUIET_READ_S = 2.0
 BUSY_READ_S = 0.25
--- a/src/banyanshed/lookups.py
+++ b/src/banyanshed/core/lookups.py
@@ -12,8 +12,8 @@
 
 import xxhash
 
-from banyanshed import blocks
-from banyanshed import models
+from banyanshed.core import blocks
+from banyanshed.core import models
 
 REQUESTS_PER_HOST_PER_S = 200
 MIN_SUBSET_HOSTS = 2
--- a/src/banyanshed/membership.py
+++ b/src/banyanshed/core/membership.py
@@ -14,7 +14,7 @@
 import math
 import random
 
-from banyanshed import models
+from banyanshed.core import models
 
 EXPIRY_S = 7200.0
 """Time after which a host that is neither live nor listed is forgotten."""
--- a/src/banyanshed/problems.py
+++ b/src/banyanshed/core/problems.py
@@ -3,7 +3,7 @@
 import json
 import math
 
-from banyanshed import models
+from banyanshed.core import models
 
 CONTENT_TYPE = "application/problem+json"
 
--- a/src/banyanshed/requests.py
+++ b/src/banyanshed/core/requests.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 import dataclasses
 
-from banyanshed import models
+from banyanshed.core import models
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/banyanshed/retries.py
+++ b/src/banyanshed/core/retries.py
@@ -3,8 +3,8 @@
 import dataclasses
 import random
 
-from banyanshed import models
-from banyanshed import requests
+from banyanshed.core import models
+from banyanshed.core import requests
 
 BUDGET_SHARE = 0.1
 BUDGET_RESERVE = 10.0
--- a/src/banyanshed/routing.py
+++ b/src/banyanshed/core/routing.py
@@ -5,9 +5,9 @@
 import math
 from typing import Generic, Protocol, TypeVar
 
-from banyanshed import backends
-from banyanshed import models
-from banyanshed import rows
+from banyanshed.core import backends
+from banyanshed.core import models
+from banyanshed.core import rows
 
 NO_CAPACITY_RETRY_S = 1.0
 UNKNOWN_DISTANCE_MS = math.inf
--- a/src/banyanshed/rows.py
+++ b/src/banyanshed/core/rows.py
@@ -11,7 +11,7 @@
 
 import pydantic
 
-from banyanshed import models
+from banyanshed.core import models
 
 CONFIG_PREFIX = "config/"
 HEAD_KEY = "config-head"
--- a/src/banyanshed/services.py
+++ b/src/banyanshed/core/services.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from banyanshed import models
+from banyanshed.core import models
 
 
 class Table(Protocol):
--- a/src/banyanshed/sessions.py
+++ b/src/banyanshed/core/sessions.py
@@ -12,8 +12,8 @@
 
 import pydantic
 
-from banyanshed import models
-from banyanshed import shares
+from banyanshed.core import models
+from banyanshed.core import shares
 
 SESSION_PREFIX = "session/"
 LEASE_S = 7200.0
--- a/src/banyanshed/shares.py
+++ b/src/banyanshed/core/shares.py
@@ -12,8 +12,8 @@
 
 import pydantic
 
-from banyanshed import models
-from banyanshed import rows
+from banyanshed.core import models
+from banyanshed.core import rows
 
 SHARE_PREFIX = "share/"
 TENANT_PREFIX = SHARE_PREFIX + "tenant/"
--- a/src/banyanshed/sheets.py
+++ b/src/banyanshed/core/sheets.py
@@ -14,11 +14,11 @@
 
 import pydantic
 
-from banyanshed import configuration as configurations
-from banyanshed import edits
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import rows
+from banyanshed.core import configuration as configurations
+from banyanshed.core import edits
+from banyanshed.core import models
+from banyanshed.core import rows
 
 KIND = "kind"
 VERSION = "version"
--- a/src/banyanshed/slots.py
+++ b/src/banyanshed/core/slots.py
@@ -13,9 +13,9 @@
 
 import xxhash
 
-from banyanshed import leases
-from banyanshed import models
-from banyanshed import shares
+from banyanshed.core import leases
+from banyanshed.core import models
+from banyanshed.core import shares
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/banyanshed/traffic.py
+++ b/src/banyanshed/core/traffic.py
@@ -12,23 +12,21 @@
 import random
 from typing import Any
 
-from banyanshed import admissions
-from banyanshed import backends
-from banyanshed import configuration
-from banyanshed import events
-from banyanshed import forwarding
-from banyanshed import freshness
-from banyanshed import leases
-from banyanshed import models
-from banyanshed import problems
-from banyanshed import requests
-from banyanshed import retries
-from banyanshed import routing
-from banyanshed import rows
-from banyanshed import serving
 from banyanshed import settings as settings_module
-from banyanshed import slots
-from banyanshed import waiting
+from banyanshed.core import admissions
+from banyanshed.core import backends
+from banyanshed.core import configuration
+from banyanshed.core import events
+from banyanshed.core import freshness
+from banyanshed.core import leases
+from banyanshed.core import models
+from banyanshed.core import problems
+from banyanshed.core import requests
+from banyanshed.core import retries
+from banyanshed.core import routing
+from banyanshed.core import rows
+from banyanshed.core import slots
+from banyanshed.core import waiting
 
 HEAD_BYTES = 512
 """Allowance for the start line and the headers that a host adds."""
@@ -450,7 +448,7 @@
         refusal = self._check_key_again(serving_now, now_s)
         if refusal is not None:
             self._refuse(serving_now, refusal)
-        elif failure.code == serving.LAPSED_CODE:
+        elif failure.code == events.LAPSED_CODE:
             self._admit_again(serving_now, now_s)
         else:
             self._retry_or_refuse(serving_now, failure, now_s)
@@ -476,7 +474,7 @@
         self.router.release(now_s, placement, sent, received)
         lapsed = (
             isinstance(outcome, requests.AttemptFailure)
-            and outcome.code == serving.LAPSED_CODE
+            and outcome.code == events.LAPSED_CODE
         )
         if lapsed:
             self.backends.handle(
@@ -588,7 +586,7 @@
         now_s: float,
         sent_s: float,
         probe: Probe,
-        result: forwarding.ProbeResult,
+        result: events.ProbeResult,
     ) -> None:
         """Takes what a probe sent at `sent_s` found.
 
--- a/src/banyanshed/waiting.py
+++ b/src/banyanshed/core/waiting.py
@@ -13,7 +13,7 @@
 import random
 from typing import Generic, TypeVar
 
-from banyanshed import models
+from banyanshed.core import models
 
 MAX_WAITING = 256
 MAX_WAITING_PER_TENANT = 64
--- a/src/banyanshed/witnessing.py
+++ b/src/banyanshed/core/witnessing.py
@@ -10,9 +10,9 @@
 import math
 import random
 
-from banyanshed import models
-from banyanshed import sessions
-from banyanshed import shares
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
 
 # Heartbeats whose acknowledgement is still taken.
 MAX_UNANSWERED = 64
--- a/src/banyanshed/daemon.py
+++ b/src/banyanshed/daemon.py
@@ -18,35 +18,36 @@
 from absl import flags
 import capnp
 
-from banyanshed import bridge as bridges
-from banyanshed import configuration
-from banyanshed import deltas
-from banyanshed import entry as entries
 from banyanshed import exceptions
-from banyanshed import forwarding
-from banyanshed import handover
-from banyanshed import hostlists
-from banyanshed import leases
-from banyanshed import ledger as ledgers
-from banyanshed import logs
-from banyanshed import mirrors
-from banyanshed import models
-from banyanshed import objects
-from banyanshed import operators
-from banyanshed import peering
-from banyanshed import peers
-from banyanshed import requests
-from banyanshed import rows
-from banyanshed import server
-from banyanshed import serving
-from banyanshed import sessions
 from banyanshed import settings as settings_module
-from banyanshed import shares
-from banyanshed import tables
-from banyanshed import telemetry as telemetry_module
-from banyanshed import timers
-from banyanshed import traffic
-from banyanshed import web
+from banyanshed.core import configuration
+from banyanshed.core import deltas
+from banyanshed.core import entry as entries
+from banyanshed.core import events
+from banyanshed.core import handover
+from banyanshed.core import leases
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.core import rows
+from banyanshed.core import sessions
+from banyanshed.core import shares
+from banyanshed.core import traffic
+from banyanshed.edges import bridge as bridges
+from banyanshed.edges import forwarding
+from banyanshed.edges import hostlists
+from banyanshed.edges import ledger as ledgers
+from banyanshed.edges import logs
+from banyanshed.edges import mirrors
+from banyanshed.edges import objects
+from banyanshed.edges import operators
+from banyanshed.edges import peering
+from banyanshed.edges import peers
+from banyanshed.edges import server
+from banyanshed.edges import serving
+from banyanshed.edges import tables
+from banyanshed.edges import telemetry as telemetry_module
+from banyanshed.edges import timers
+from banyanshed.edges import web
 
 SETTINGS = flags.DEFINE_string("settings", None, "YAML settings file.")
 
@@ -540,13 +541,13 @@
         self.peering.on_version()
 
 
-def _ask_health(probe: traffic.Probe) -> tuple[float, forwarding.ProbeResult]:
+def _ask_health(probe: traffic.Probe) -> tuple[float, events.ProbeResult]:
     """Returns when a backend server was asked and what was learnt."""
     sent_s = time.monotonic()
     try:
         return sent_s, forwarding.probe(probe.address, PROBE_TIMEOUT_S)
     except Exception:  # A probe that is not accounted for would be the last.
-        return sent_s, forwarding.ProbeResult(None, code="probe_failed")
+        return sent_s, events.ProbeResult(None, code="probe_failed")
 
 
 def _probe_pool(
--- /dev/null
+++ b/src/banyanshed/edges/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's transports, clients and threads round its decisions."""
--- a/src/banyanshed/bridge.py
+++ b/src/banyanshed/edges/bridge.py
@@ -5,7 +5,7 @@
 import concurrent.futures
 from typing import TypeVar
 
-from banyanshed import events
+from banyanshed.core import events
 
 T = TypeVar("T")
 
--- a/src/banyanshed/codec.py
+++ b/src/banyanshed/edges/codec.py
@@ -10,12 +10,12 @@
 import capnp
 
 from banyanshed import exceptions
-from banyanshed import freshness
-from banyanshed import gossip
-from banyanshed import membership
-from banyanshed import models
-from banyanshed import sessions
-from banyanshed import shares
+from banyanshed.core import freshness
+from banyanshed.core import gossip
+from banyanshed.core import membership
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
 
 MAX_NAME_BYTES = 128
 MAX_LIST_ITEMS = 128
@@ -23,7 +23,9 @@
 
 def load_schema() -> Any:
     """Returns the schema, loaded from the file in this package."""
-    source = importlib.resources.files("banyanshed").joinpath("peer.capnp")
+    source = importlib.resources.files("banyanshed.edges").joinpath(
+        "peer.capnp"
+    )
     with importlib.resources.as_file(source) as path:
         return capnp.load(str(path))
 
--- a/src/banyanshed/commits.py
+++ b/src/banyanshed/edges/commits.py
@@ -9,8 +9,8 @@
 import threading
 
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import services
+from banyanshed.core import models
+from banyanshed.core import services
 
 GROUP_TRANSACTIONS = 64
 COMMITS_AT_ONCE = 4
--- a/src/banyanshed/editing.py
+++ b/src/banyanshed/edges/editing.py
@@ -7,12 +7,12 @@
 import time
 from typing import Protocol, TypeVar
 
-from banyanshed import configuration as configurations
-from banyanshed import edits as edit_rules
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import rows
-from banyanshed import services
+from banyanshed.core import configuration as configurations
+from banyanshed.core import edits as edit_rules
+from banyanshed.core import models
+from banyanshed.core import rows
+from banyanshed.core import services
 
 ATTEMPTS = 8
 ATTEMPT_DELAY_S = 0.25
--- a/src/banyanshed/forwarding.py
+++ b/src/banyanshed/edges/forwarding.py
@@ -9,7 +9,6 @@
 
 import collections
 from collections.abc import Iterable, Mapping
-import dataclasses
 import http.client
 import threading
 import time
@@ -19,9 +18,10 @@
 import urllib3
 from urllib3 import exceptions as urllib3_exceptions
 
-from banyanshed import connections
-from banyanshed import models
-from banyanshed import requests
+from banyanshed.core import events
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.edges import connections
 
 REQUEST_ID_HEADER = "Banyanshed-Request-Id"
 TENANT_HEADER = "Banyanshed-Tenant"
@@ -329,26 +329,7 @@
     slots: int | None = pydantic.Field(default=None, ge=0)
 
 
-@dataclasses.dataclass(frozen=True)
-class ProbeResult:
-    """What a backend server's health and load endpoints said.
-
-    Attributes:
-        state: Live or leaving; None when it could not be learnt.
-        in_flight: Requests at work; None when unknown.
-        slots: Requests it works on at once; None when unknown.
-        refused: Nothing listens at the address.
-        code: Stable code of a failure; None when both were read.
-    """
-
-    state: models.BackendState | None
-    in_flight: int | None = None
-    slots: int | None = None
-    refused: bool = False
-    code: str | None = None
-
-
-def probe(address: str, timeout_s: float) -> ProbeResult:
+def probe(address: str, timeout_s: float) -> events.ProbeResult:
     """Asks a backend server for its health and load.
 
     Args:
@@ -363,19 +344,21 @@
         conn = connections.open_connection(address, deadline_s)
     except urllib3_exceptions.NewConnectionError as error:
         refused = isinstance(error.__cause__, ConnectionRefusedError)
-        return ProbeResult(None, refused=refused, code="connect_failed")
+        return events.ProbeResult(None, refused=refused, code="connect_failed")
     except (OSError, ValueError, urllib3_exceptions.HTTPError):
-        return ProbeResult(None, code="connect_failed")
+        return events.ProbeResult(None, code="connect_failed")
     health = None
     try:
         health = ask(conn, "/health", deadline_s)
         load = ask(conn, "/load", deadline_s)
     except EXCHANGE_ERRORS:
         state = health.state if health else None
-        return ProbeResult(state, code="no_load" if health else "no_health")
+        return events.ProbeResult(
+            state, code="no_load" if health else "no_health"
+        )
     finally:
         connections.close_connection(conn)
-    return ProbeResult(
+    return events.ProbeResult(
         either_state(health.state, load.state), load.in_flight, load.slots
     )
 
--- a/src/banyanshed/hostlists.py
+++ b/src/banyanshed/edges/hostlists.py
@@ -2,8 +2,8 @@
 
 import json
 
-from banyanshed import calls
-from banyanshed import models
+from banyanshed.core import models
+from banyanshed.edges import calls
 
 
 class HttpHostList:
--- a/src/banyanshed/ledger.py
+++ b/src/banyanshed/edges/ledger.py
@@ -10,12 +10,12 @@
 from typing import Any, TypeVar
 import uuid
 
-from banyanshed import claims
-from banyanshed import commits
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import requests
-from banyanshed import services
+from banyanshed.core import claims
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.core import services
+from banyanshed.edges import commits
 
 PENDING_COUNT = 1000
 PENDING_BYTES = 32 << 20
--- a/src/banyanshed/mirrors.py
+++ b/src/banyanshed/edges/mirrors.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Sequence
 
-from banyanshed import models
-from banyanshed import services
+from banyanshed.core import models
+from banyanshed.core import services
 
 
 class TableMirror:
--- a/src/banyanshed/objects.py
+++ b/src/banyanshed/edges/objects.py
@@ -2,8 +2,8 @@
 
 import urllib.parse
 
-from banyanshed import calls
 from banyanshed import exceptions
+from banyanshed.edges import calls
 
 
 class HttpObjectStore:
--- a/src/banyanshed/operators.py
+++ b/src/banyanshed/edges/operators.py
@@ -16,18 +16,18 @@
 import cherrypy
 import pydantic
 
-from banyanshed import blocks
-from banyanshed import configuration as configurations
-from banyanshed import editing
-from banyanshed import edits as edit_rules
 from banyanshed import exceptions
-from banyanshed import keys
-from banyanshed import logs
-from banyanshed import models
-from banyanshed import problems
-from banyanshed import rows
-from banyanshed import services
-from banyanshed import sheets
+from banyanshed.core import blocks
+from banyanshed.core import configuration as configurations
+from banyanshed.core import edits as edit_rules
+from banyanshed.core import keys
+from banyanshed.core import models
+from banyanshed.core import problems
+from banyanshed.core import rows
+from banyanshed.core import services
+from banyanshed.core import sheets
+from banyanshed.edges import editing
+from banyanshed.edges import logs
 
 BODY_LIMIT_BYTES = 8 << 20
 RETRY_AFTER_S = 1
--- a/src/banyanshed/peering.py
+++ b/src/banyanshed/edges/peering.py
@@ -12,11 +12,11 @@
 import eliot
 
 from banyanshed import exceptions
-from banyanshed import gossip
-from banyanshed import handover
-from banyanshed import models
-from banyanshed import peers
-from banyanshed import sessions
+from banyanshed.core import gossip
+from banyanshed.core import handover
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.edges import peers
 
 MAX_TASKS = 64
 
--- a/src/banyanshed/peers.py
+++ b/src/banyanshed/edges/peers.py
@@ -20,12 +20,12 @@
 import eliot
 
 from banyanshed import addresses
-from banyanshed import codec
 from banyanshed import exceptions
-from banyanshed import gossip
-from banyanshed import handover
-from banyanshed import models
-from banyanshed import sessions
+from banyanshed.core import gossip
+from banyanshed.core import handover
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.edges import codec
 
 Answer = TypeVar("Answer")
 
--- a/src/banyanshed/server.py
+++ b/src/banyanshed/edges/server.py
@@ -10,11 +10,11 @@
 import prometheus_client
 
 from banyanshed import addresses
-from banyanshed import models
-from banyanshed import problems
 from banyanshed import settings as settings_module
-from banyanshed import telemetry as telemetry_module
-from banyanshed import web
+from banyanshed.core import models
+from banyanshed.core import problems
+from banyanshed.edges import telemetry as telemetry_module
+from banyanshed.edges import web
 
 MAX_HEADER_BYTES = 32 << 10
 SOCKET_TIMEOUT_S = 10
--- a/src/banyanshed/serving.py
+++ b/src/banyanshed/edges/serving.py
@@ -3,14 +3,12 @@
 import time
 from typing import Protocol
 
-from banyanshed import bridge as bridges
-from banyanshed import claims
-from banyanshed import events
-from banyanshed import models
-from banyanshed import requests
-from banyanshed import web
-
-LAPSED_CODE = "lease_lapsed"
+from banyanshed.core import claims
+from banyanshed.core import events
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.edges import bridge as bridges
+from banyanshed.edges import web
 
 
 class Sender(Protocol):
@@ -153,7 +151,7 @@
         # A thread that was paused must not send under a lapsed lease.
         now_s = time.monotonic()
         if now_s >= placed.valid_until_s:
-            return requests.AttemptFailure(models.Ran.NO, LAPSED_CODE)
+            return requests.AttemptFailure(models.Ran.NO, events.LAPSED_CODE)
         try:
             return self.sender.send(
                 request,
--- a/src/banyanshed/tables.py
+++ b/src/banyanshed/edges/tables.py
@@ -5,9 +5,9 @@
 import json
 from typing import Any
 
-from banyanshed import calls
 from banyanshed import exceptions
-from banyanshed import models
+from banyanshed.core import models
+from banyanshed.edges import calls
 
 
 class HttpTable:
--- a/src/banyanshed/web.py
+++ b/src/banyanshed/edges/web.py
@@ -9,11 +9,11 @@
 import urllib.parse
 import uuid
 
-from banyanshed import keys
-from banyanshed import logs
-from banyanshed import models
-from banyanshed import problems
-from banyanshed import requests
+from banyanshed.core import keys
+from banyanshed.core import models
+from banyanshed.core import problems
+from banyanshed.core import requests
+from banyanshed.edges import logs
 
 SERVICE_PREFIX = "/services/"
 LOOKUP_PATH = "/lookup"
--- a/src/banyanshed/exceptions.py
+++ b/src/banyanshed/exceptions.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from banyanshed import models
+    from banyanshed.core import models
 
 
 class BanyanshedError(Exception):
--- a/src/banyanshed/settings.py
+++ b/src/banyanshed/settings.py
@@ -6,9 +6,9 @@
 
 from banyanshed import addresses
 from banyanshed import documents
-from banyanshed import models
-from banyanshed import rows
-from banyanshed import sessions
+from banyanshed.core import models
+from banyanshed.core import rows
+from banyanshed.core import sessions
 
 KEY_WITHDRAWAL_LIMIT_S = 5
 """Time after which no host may accept a withdrawn key."""
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from banyanshed import exceptions
-from banyanshed import models
+from banyanshed.core import models
 
 
 class MemoryTable:
--- a/standins/sites.py
+++ b/standins/sites.py
@@ -3,10 +3,10 @@
 from collections.abc import Mapping, Sequence
 import dataclasses
 
-from banyanshed import configuration
-from banyanshed import models
-from banyanshed import rows
-from banyanshed import sheets
+from banyanshed.core import configuration
+from banyanshed.core import models
+from banyanshed.core import rows
+from banyanshed.core import sheets
 from standins import fleet as fleets
 
 REGIONS = ("sask", "alberta")
--- a/tests/claimant.py
+++ b/tests/claimant.py
@@ -9,12 +9,12 @@
 
 import urllib3
 
-from banyanshed import claims
-from banyanshed import ledger as ledgers
-from banyanshed import models
-from banyanshed import objects
-from banyanshed import requests
-from banyanshed import tables
+from banyanshed.core import claims
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.edges import ledger as ledgers
+from banyanshed.edges import objects
+from banyanshed.edges import tables
 from tests import fakes
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,8 +3,8 @@
 import dataclasses
 
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import requests
+from banyanshed.core import models
+from banyanshed.core import requests
 from standins import platform
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,12 +3,12 @@
 import dataclasses
 import random
 
-from banyanshed import admissions
 from banyanshed import exceptions
-from banyanshed import leases
-from banyanshed import models
-from banyanshed import sessions
-from banyanshed import shares
+from banyanshed.core import admissions
+from banyanshed.core import leases
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
 from standins import memory
 
 TENANT = models.TenantId("acme")
--- a/tests/tables.py
+++ b/tests/tables.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from banyanshed import exceptions
-from banyanshed import rows
+from banyanshed.core import rows
 from standins import platform
 from tests import fakes
 
--- a/tests/test_attempt_processes.py
+++ b/tests/test_attempt_processes.py
@@ -11,11 +11,11 @@
 
 import pytest
 
-from banyanshed import backends
-from banyanshed import forwarding
-from banyanshed import models
-from banyanshed import requests
-from banyanshed import rows
+from banyanshed.core import backends
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.core import rows
+from banyanshed.edges import forwarding
 from standins import processes
 
 SLOTS = 6
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -6,10 +6,10 @@
 from hypothesis import strategies as st
 import pytest
 
-from banyanshed import backends
-from banyanshed import models
-from banyanshed import requests
-from banyanshed import rows
+from banyanshed.core import backends
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.core import rows
 
 LIVE = models.BackendState.LIVE
 LEAVING = models.BackendState.LEAVING
--- a/tests/test_blocks.py
+++ b/tests/test_blocks.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from banyanshed import blocks
+from banyanshed.core import blocks
 
 SITES = [blocks.Site("sask", "sask-a"), blocks.Site("sask", "sask-b"), None]
 V4 = st.tuples(st.integers(0, 2**32 - 1), st.integers(0, 32))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies
 import pytest
 
-from banyanshed import claims
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import requests
+from banyanshed.core import claims
+from banyanshed.core import models
+from banyanshed.core import requests
 from tests import fakes
 
 STEP_FAULTS = strategies.sampled_from(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,7 +7,7 @@
 
 from banyanshed import cli
 from banyanshed import consoles
-from banyanshed import models
+from banyanshed.core import models
 from tests import conftest
 from tests import test_operators
 
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from banyanshed import commits
 from banyanshed import exceptions
-from banyanshed import models
+from banyanshed.core import models
+from banyanshed.edges import commits
 from tests import fakes
 
 
--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -7,7 +7,7 @@
 
 from banyanshed import cli
 from banyanshed import consoles
-from banyanshed import rows
+from banyanshed.core import rows
 from standins import fleet as fleets
 from tests import test_operators
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -3,11 +3,11 @@
 from hypothesis import strategies as st
 import pytest
 
-from banyanshed import blocks
-from banyanshed import configuration as configurations
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import rows
+from banyanshed.core import blocks
+from banyanshed.core import configuration as configurations
+from banyanshed.core import models
+from banyanshed.core import rows
 
 DIGESTS = ["a" * 64, "b" * 64]
 NAMES = st.sampled_from(["sask", "alberta"])
--- a/tests/test_editing.py
+++ b/tests/test_editing.py
@@ -2,11 +2,11 @@
 from hypothesis import strategies as st
 import pytest
 
-from banyanshed import configuration as configurations
-from banyanshed import editing
-from banyanshed import edits
 from banyanshed import exceptions
-from banyanshed import rows
+from banyanshed.core import configuration as configurations
+from banyanshed.core import edits
+from banyanshed.core import rows
+from banyanshed.edges import editing
 from tests import fakes
 from tests import tables
 
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -1,8 +1,8 @@
 import pytest
 
-from banyanshed import edits
-from banyanshed import models
-from banyanshed import rows
+from banyanshed.core import edits
+from banyanshed.core import models
+from banyanshed.core import rows
 from tests import test_configuration
 
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from banyanshed import entry as entries
-from banyanshed import models
 from banyanshed import settings
+from banyanshed.core import entry as entries
+from banyanshed.core import models
 
 EXAMPLE = pathlib.Path(__file__).parent.parent / "examples" / "halvorsen.yaml"
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from banyanshed import forwarding
-from banyanshed import models
-from banyanshed import requests
+from banyanshed.core import events
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.edges import forwarding
 
 LIMIT = 1 << 20
 
@@ -402,18 +403,16 @@
 
     with Backend(script) as backend:
         result = forwarding.probe(backend.target.address, 5)
-        assert result == forwarding.ProbeResult(
-            models.BackendState.LEAVING, 3, 4
-        )
+        assert result == events.ProbeResult(models.BackendState.LEAVING, 3, 4)
         documents["/load"] = b"nonsense"
         result = forwarding.probe(backend.target.address, 5)
-        assert result == forwarding.ProbeResult(
+        assert result == events.ProbeResult(
             models.BackendState.LIVE, code="no_load"
         )
         documents["/health"] = b'{"state": "lea'
         result = forwarding.probe(backend.target.address, 5)
-        assert result == forwarding.ProbeResult(None, code="no_health")
+        assert result == events.ProbeResult(None, code="no_health")
     result = forwarding.probe(backend.target.address, 5)
-    assert result == forwarding.ProbeResult(
+    assert result == events.ProbeResult(
         None, refused=True, code="connect_failed"
     )
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies
 import pytest
 
-from banyanshed import freshness
-from banyanshed import gossip
-from banyanshed import membership
-from banyanshed import models
+from banyanshed.core import freshness
+from banyanshed.core import gossip
+from banyanshed.core import membership
+from banyanshed.core import models
 from benchmarks import wires
 
 LIVE = models.HostState.LIVE
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,10 +5,10 @@
 import pytest
 
 from banyanshed import exceptions
-from banyanshed import handover
-from banyanshed import leases
-from banyanshed import models
-from banyanshed import sessions
+from banyanshed.core import handover
+from banyanshed.core import leases
+from banyanshed.core import models
+from banyanshed.core import sessions
 from standins import memory
 from tests import test_leases as base
 
--- a/tests/test_key_proofs.py
+++ b/tests/test_key_proofs.py
@@ -10,7 +10,7 @@
 import pytest
 import urllib3
 
-from banyanshed import rows
+from banyanshed.core import rows
 from standins import fleet as fleets
 from standins import sites
 
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,54 @@
+"""Decisions stay free of input and output; names of pages stay in one place."""
+
+import ast
+import pathlib
+
+import pytest
+
+SOURCE = pathlib.Path(__file__).parent.parent / "src" / "banyanshed"
+# Modules that do input or output, or read clocks.
+EDGE_MODULES = frozenset(
+    {
+        "asyncio",
+        "capnp",
+        "cheroot",
+        "cherrypy",
+        "http",
+        "os",
+        "selectors",
+        "signal",
+        "socket",
+        "subprocess",
+        "threading",
+        "time",
+        "urllib3",
+    }
+)
+EDGE_PACKAGES = ("banyanshed.edges", "banyanshed.gateway")
+
+
+def imported_names(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        if isinstance(node, ast.ImportFrom):
+            yield node.module
+            yield from (f"{node.module}.{alias.name}" for alias in node.names)
+
+
+@pytest.mark.parametrize("package", ["core", "steering"])
+def test_decisions_import_no_input_or_output(package):
+    for path in (SOURCE / package).glob("*.py"):
+        for name in imported_names(path):
+            assert name.split(".")[0] not in EDGE_MODULES, (path, name)
+            assert not name.startswith(EDGE_PACKAGES), (path, name)
+
+
+def test_the_platform_folder_decides_nothing():
+    # Types of the core may be built there; its decisions are not used.
+    allowed = {"budgets", "models"}
+    for path in (SOURCE / "platform").glob("*.py"):
+        for name in imported_names(path):
+            package, _, module = name.rpartition(".")
+            if package == "banyanshed.steering":
+                assert module in allowed, (path, name)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,10 +4,10 @@
 import pytest
 
 from banyanshed import exceptions
-from banyanshed import leases
-from banyanshed import models
-from banyanshed import sessions
-from banyanshed import shares
+from banyanshed.core import leases
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
 from standins import memory
 
 TENANT = models.TenantId("acme")
--- a/tests/test_leaving_proofs.py
+++ b/tests/test_leaving_proofs.py
@@ -11,7 +11,7 @@
 import pytest
 import urllib3
 
-from banyanshed import rows
+from banyanshed.core import rows
 from standins import fleet as fleets
 from standins import sites
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from banyanshed import claims
-from banyanshed import ledger as ledgers
-from banyanshed import models
-from banyanshed import requests
+from banyanshed.core import claims
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.edges import ledger as ledgers
 from tests import fakes
 
 TENANT = models.TenantId("club")
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from banyanshed import sessions
+from banyanshed.core import sessions
 from tests import fleet
 
 HOSTS = st.sampled_from(["h0", "h1", "h2", "h3"])
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -4,9 +4,9 @@
 from hypothesis import strategies as st
 import pytest
 
-from banyanshed import blocks
-from banyanshed import lookups
-from banyanshed import models
+from banyanshed.core import blocks
+from banyanshed.core import lookups
+from banyanshed.core import models
 
 DISTANCES_MS = {"sask": {"alberta": 20.0, "manitoba": 30.0}}
 SITE = blocks.Site("sask", "sask-a")
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -5,8 +5,8 @@
 import pytest
 
 from banyanshed import exceptions
-from banyanshed import mirrors
-from banyanshed import models
+from banyanshed.core import models
+from banyanshed.edges import mirrors
 from tests import fakes
 
 KEYS = ("share/a", "share/b", "session/x", "session/y")
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -5,10 +5,10 @@
 import cherrypy
 import pytest
 
-from banyanshed import keys
-from banyanshed import models
-from banyanshed import operators
-from banyanshed import rows
+from banyanshed.core import keys
+from banyanshed.core import models
+from banyanshed.core import rows
+from banyanshed.edges import operators
 from tests import tables
 from tests import test_editing
 
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -9,12 +9,12 @@
 import capnp
 
 from banyanshed import exceptions
-from banyanshed import freshness
-from banyanshed import gossip
-from banyanshed import membership
-from banyanshed import models
-from banyanshed import peering
-from banyanshed import peers
+from banyanshed.core import freshness
+from banyanshed.core import gossip
+from banyanshed.core import membership
+from banyanshed.core import models
+from banyanshed.edges import peering
+from banyanshed.edges import peers
 
 SECRET = b"0123456789abcdef0123456789abcdef"
 INTERVAL_S = 0.05
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,15 +11,15 @@
 import pytest
 
 from banyanshed import addresses
-from banyanshed import codec
 from banyanshed import exceptions
-from banyanshed import freshness
-from banyanshed import gossip
-from banyanshed import handover
-from banyanshed import membership
-from banyanshed import models
-from banyanshed import peers
-from banyanshed import sessions
+from banyanshed.core import freshness
+from banyanshed.core import gossip
+from banyanshed.core import handover
+from banyanshed.core import membership
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.edges import codec
+from banyanshed.edges import peers
 
 SECRET = b"0123456789abcdef0123456789abcdef"
 PROFILE = models.ListedHost(
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -3,10 +3,10 @@
 import pytest
 
 from banyanshed import exceptions
-from banyanshed import hostlists
-from banyanshed import models
-from banyanshed import objects
-from banyanshed import tables
+from banyanshed.core import models
+from banyanshed.edges import hostlists
+from banyanshed.edges import objects
+from banyanshed.edges import tables
 from standins import processes
 
 CONDITION = models.Condition
--- a/tests/test_request_proofs.py
+++ b/tests/test_request_proofs.py
@@ -11,7 +11,7 @@
 import pytest
 import urllib3
 
-from banyanshed import claims
+from banyanshed.core import claims
 from standins import fleet as fleets
 from standins import sites
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,12 +3,12 @@
 
 import pytest
 
-from banyanshed import backends
-from banyanshed import models
-from banyanshed import requests
-from banyanshed import retries
-from banyanshed import routing
-from banyanshed import rows
+from banyanshed.core import backends
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.core import retries
+from banyanshed.core import routing
+from banyanshed.core import rows
 
 
 def table(**weights):
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -1,7 +1,7 @@
 import pydantic
 import pytest
 
-from banyanshed import rows
+from banyanshed.core import rows
 
 
 def test_row_key_names_kind_and_columns():
--- a/tests/test_sessions_golden.py
+++ b/tests/test_sessions_golden.py
@@ -6,17 +6,17 @@
 
 import pytest
 
-from banyanshed import configuration
-from banyanshed import edits
-from banyanshed import entry as entries
-from banyanshed import events
 from banyanshed import exceptions
-from banyanshed import leases
-from banyanshed import models
-from banyanshed import requests
-from banyanshed import rows
 from banyanshed import settings
-from banyanshed import sheets
+from banyanshed.core import configuration
+from banyanshed.core import edits
+from banyanshed.core import entry as entries
+from banyanshed.core import events
+from banyanshed.core import leases
+from banyanshed.core import models
+from banyanshed.core import requests
+from banyanshed.core import rows
+from banyanshed.core import sheets
 from standins import memory
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -2,9 +2,9 @@
 from hypothesis import strategies as st
 import pytest
 
-from banyanshed import models
-from banyanshed import sessions
-from banyanshed import shares
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
 
 VERSION = models.ConfigVersion(1)
 NAMES = st.sampled_from(["a/1.1", "b/1.1", "c/1.1"])
--- a/tests/test_sheets.py
+++ b/tests/test_sheets.py
@@ -2,11 +2,11 @@
 from hypothesis import strategies as st
 import pytest
 
-from banyanshed import configuration as configurations
 from banyanshed import exceptions
-from banyanshed import models
-from banyanshed import rows
-from banyanshed import sheets
+from banyanshed.core import configuration as configurations
+from banyanshed.core import models
+from banyanshed.core import rows
+from banyanshed.core import sheets
 from tests import test_configuration
 
 LABELS = st.text(
--- a/tests/test_shift_cap.py
+++ b/tests/test_shift_cap.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from banyanshed import models
-from banyanshed import sessions
-from banyanshed import shares
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
 from tests import fleet
 
 UNITS, CAP = 24, 4
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -3,8 +3,8 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from banyanshed import shares
-from banyanshed import slots
+from banyanshed.core import shares
+from banyanshed.core import slots
 from standins import memory
 from tests import test_leases
 
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from banyanshed import timers
+from banyanshed.edges import timers
 
 FAR_S = 3600.0
 STEPS = 200
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from banyanshed import events
-from banyanshed import models
-from banyanshed import rows
-from banyanshed import sheets
+from banyanshed.core import events
+from banyanshed.core import models
+from banyanshed.core import rows
+from banyanshed.core import sheets
 from tests import test_sessions_golden as sessions
 
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -4,8 +4,8 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from banyanshed import models
-from banyanshed import waiting
+from banyanshed.core import models
+from banyanshed.core import waiting
 
 INTERACTIVE = models.Priority.INTERACTIVE
 BACKGROUND = models.Priority.BACKGROUND
