--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -23,6 +23,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / "scripts" / "entry_host.py"
 EXAMPLE = ROOT / "examples" / "platform-node.yaml"
+# Tests of the gateway may run at the same time on addresses of their own.
+NETWORK = f"127.{60 + gateway_fleet.WORKER}"
 ZONES = {"a1": "a", "a2": "a", "b1": "b"}
 SLOTS = 4
 WORK_S = 0.05
@@ -45,9 +47,9 @@
         self.proxy = None
 
     async def start(self, stack):
-        await self.backend.start(stack, f"{gateway_fleet.NETWORK}.0.1")
+        await self.backend.start(stack, f"{NETWORK}.0.1")
         self.proxy = proxies.Proxy(self.backend.address)
-        await self.proxy.start(stack, f"{gateway_fleet.NETWORK}.0.1")
+        await self.proxy.start(stack, f"{NETWORK}.0.1")
         await self.register("ready")
 
     async def register(self, state):
@@ -96,7 +98,7 @@
     def __init__(self, world, number):
         self.world = world
         self.name = f"h{number}"
-        self.ip = f"{gateway_fleet.NETWORK}.2.{number}"
+        self.ip = f"{NETWORK}.2.{number}"
         self.zone = list(ZONES)[number % len(ZONES)]
         self.store_proxy = proxies.Proxy(world.store_address)
         self.process = None
@@ -104,7 +106,7 @@
         self.log = world.folder / f"{self.name}.log"
 
     async def open(self, stack):
-        ip = f"{gateway_fleet.NETWORK}.0.1"
+        ip = f"{NETWORK}.0.1"
         await self.store_proxy.start(stack, ip)
         self.path.write_text(yaml.safe_dump(self._settings()))
         stack.callback(self.kill)
@@ -159,7 +161,7 @@
             for name, port in zip(names, ports, strict=False)
         }
         tree["portRange"] = [ports[4], ports[4]]
-        tree["seeds"] = [f"{gateway_fleet.NETWORK}.2.1:{ports[2]}"]
+        tree["seeds"] = [f"{NETWORK}.2.1:{ports[2]}"]
         tree["bounds"].append(f"grace={GRACE_S:g}s")
         ip, port = self.store_proxy.address
         tree["provider"]["addr"] = f"{ip}:{port}"
@@ -188,7 +190,7 @@
         return self.loop.time() - self.started_at
 
     async def start(self, hosts, servers):
-        ip = f"{gateway_fleet.NETWORK}.0.1"
+        ip = f"{NETWORK}.0.1"
         self.ports = [gateway_fleet.free_port(ip) for _ in range(6)]
         self.store_address = (ip, gateway_fleet.free_port(ip))
         await listeners.listen(self.store_address, self.store.stage, self.stack)
