--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -168,3 +168,17 @@
     assert names == ["idle", "busy"]
     names = [usage.customer for usage in known.report(4.0)]
     assert names == ["busy"]
+
+
+def test_a_relay_that_starts_anew_charges_other_regions_nothing_old():
+    # It hears its region's hosts one after the other, each with all that it
+    # ever admitted; other regions were charged for that long ago.
+    relay = quotas.CustomerBucket(100.0, 100.0, 0.0)
+    receiver = quotas.CustomerBucket(100.0, 100.0, 0.0)
+    for number in range(5):
+        now = 1.0 + number / 5
+        usage = quotas.Usage("club", 500, 1.0)
+        relay.take_report(f"h{number}", usage, now)
+        receiver.take_region_report("b", relay.region_report("club", now), now)
+    receiver.charge_peers(2.0)
+    assert receiver.tokens > 0.0
