Check the customer of each run in the soak, and drop what it never used

Cause: a last reading: the soak recorded the customer that a backend server was told and never compared it with the holder of the caller's key, and held a reader of logs that nothing called. Change: a run that names another customer breaks a promise; one function names a key's customer for the world and the check; the reader is gone. Tests: test_soak with a case of a wrong customer, which the former check let pass.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -121,6 +121,8 @@
         return "nobody sent it"
     if run.leaked_key:
         return "the caller's key was passed on"
+    if run.customer != r.customer_of(request.key):
+        return f"it is not {request.key}'s customer"
     return None
 
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -132,3 +132,8 @@
             if span.start <= end and span.end >= start:
                 return False
         return not any(start <= at <= end for at in self.late_until)
+
+
+def customer_of(key):
+    """Returns the customer that holds a key."""
+    return f"c{key}"
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import json
 import os
 import pathlib
 import random
@@ -216,7 +215,7 @@
 
     async def put_configuration(self):
         customers = [
-            {"name": f"c{key}", "apiKeys": [key], "ratePerS": 0}
+            {"name": r.customer_of(key), "apiKeys": [key], "ratePerS": 0}
             for key in self.keys
         ]
         extra = gateway_fleet.route(f"extra{self.version}")
@@ -376,9 +375,3 @@
             )
             line = await reader.readline()
             return int(line.split()[1]) if line else 0
-
-
-def read_log(path):
-    """Returns a host's log lines."""
-    lines = path.read_text().splitlines()
-    return [json.loads(line) for line in lines if line.startswith("{")]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,7 +47,7 @@
         "id": "a",
         "server": "i1",
         "at": 10.05,
-        "customer": "c",
+        "customer": "ckey-1",
         "leaked_key": False,
         "body": b"x",
     }
@@ -79,6 +79,7 @@
         ({"ending": r.Ending.CLOSED}, [run()], "a_stop_cuts_no_request"),
         ({"ended_at": 12.6}, [run()], "every_request_ends_in_time"),
         ({}, [run(leaked_key=True)], "a_run_was_asked_for"),
+        ({}, [run(customer="other")], "a_run_was_asked_for"),
         (
             {"ending": r.Ending.LEFT},
             [run(body=b"")],
