Count what a region admitted from each host's first report

Cause: a relay that starts anew hears its region's hosts one after the other, each with all that it ever admitted. The region's sum grew by these counters, and other regions charged the customer for requests of long ago, so that they refused it for some seconds (fleets above 12 hosts). Ruled out: telling the sum of rates alone (a lost datagram would lose requests); waiting until all hosts were heard (none knows how many there are). Change: each peer keeps the counter of its first report, and only what grew since is added to the region's sum, also when the peer stops. The two loops over reports, which differed in one call, share one generator.

--- a/src/banyanshed/steering/quotas.py
+++ b/src/banyanshed/steering/quotas.py
@@ -54,14 +54,29 @@
 
 @dataclasses.dataclass(slots=True)
 class _PeerUsage:
-    """What a peer reported last, and what was charged for it."""
+    """What a peer reported last, and what was charged for it.
 
+    Attributes:
+        counted_from: The peer's counter from which this host counts.
+        admitted: The peer's counter in its last report.
+        rate: Requests that the peer admits, per second.
+        offered_rate: Requests that clients send to the peer, per second.
+        at: When the last report came, in seconds.
+        charged: The counter up to which tokens were taken.
+    """
+
+    counted_from: float
     admitted: float
     rate: float
     offered_rate: float
     at: float
     charged: float
 
+    @property
+    def counted(self) -> int:
+        """Requests that the peer admitted since this host counts."""
+        return int(self.admitted - self.counted_from)
+
 
 class CustomerBucket:
     """One host's estimate of a customer's token bucket."""
@@ -130,7 +145,7 @@
         """Takes a peer's counters; a new peer starts uncharged."""
         known = self.peers.get(host)
         if known is not None and usage.admitted < known.admitted:
-            self.retired += int(known.admitted)
+            self.retired += known.counted
             known = None
         self.peers[host] = _update(known, usage, now)
 
@@ -147,18 +162,22 @@
         """Forgets a peer that stopped."""
         known = self.peers.pop(host, None)
         if known is not None:
-            self.retired += int(known.admitted)
+            self.retired += known.counted
 
     def drop_region(self, region: models.RegionName) -> None:
         """Forgets the sums of a region, as others will count on."""
         self.regions.pop(region, None)
 
     def region_report(self, name: models.CustomerName, now: float) -> Usage:
-        """Returns the sums of this host and the peers that report to it."""
+        """Returns the sums of this host and the peers that report to it.
+
+        A peer counts from its first report here: what it admitted before is
+        not this region's doing of now, and would be charged to others at once.
+        """
         admitted = self.retired + self.admitted
         offered_rate = self.offered_rate(now)
         for peer in self.peers.values():
-            admitted += int(peer.admitted)
+            admitted += peer.counted
             if now - peer.at < EXTRAPOLATE_S:
                 offered_rate += peer.offered_rate
         return Usage(name, admitted, offered_rate)
@@ -240,7 +259,12 @@
     """Returns what is known of a peer after a report."""
     if known is None:
         return _PeerUsage(
-            usage.admitted, 0.0, usage.offered_rate, now, usage.admitted
+            counted_from=usage.admitted,
+            admitted=usage.admitted,
+            rate=0.0,
+            offered_rate=usage.offered_rate,
+            at=now,
+            charged=usage.admitted,
         )
     span_s = now - known.at
     if span_s >= MIN_RATE_SPAN_S:
@@ -284,10 +308,8 @@
         now: float,
     ) -> None:
         """Takes a peer's counters of all customers that it named."""
-        for usage in usages:
-            bucket = self._limited(usage, configuration, now)
-            if bucket is not None:
-                bucket.take_report(host, usage, now)
+        for bucket, usage in self._limited(usages, configuration, now):
+            bucket.take_report(host, usage, now)
 
     def take_region_reports(
         self,
@@ -297,10 +319,8 @@
         now: float,
     ) -> None:
         """Takes a region's sums of all customers that were named."""
-        for usage in usages:
-            bucket = self._limited(usage, configuration, now)
-            if bucket is not None:
-                bucket.take_region_report(region, usage, now)
+        for bucket, usage in self._limited(usages, configuration, now):
+            bucket.take_region_report(region, usage, now)
 
     def drop_region(self, region: models.RegionName) -> None:
         """Forgets the sums of a region, as others will count on."""
@@ -316,15 +336,6 @@
                 usages.append(usage)
         return usages
 
-    def _limited(
-        self, usage: Usage, configuration: models.Configuration, now: float
-    ) -> CustomerBucket | None:
-        """Returns the bucket that a report is for, if there is a limit."""
-        customer = configuration.customers.get(usage.customer)
-        if customer is None or customer.rate <= 0.0:
-            return None
-        return self.bucket(customer, now)
-
     def drop_peer(self, host: models.HostId) -> None:
         """Forgets the counters of a peer that stopped."""
         for bucket in self.buckets.values():
@@ -346,3 +357,16 @@
                 continue
             usages.append(bucket.report(name, now))
         return usages
+
+    def _limited(
+        self,
+        usages: Sequence[Usage],
+        configuration: models.Configuration,
+        now: float,
+    ) -> Iterator[tuple[CustomerBucket, Usage]]:
+        """Yields the usages of customers with a limit, with their buckets."""
+        for usage in usages:
+            customer = configuration.customers.get(usage.customer)
+            if customer is None or customer.rate <= 0.0:
+                continue
+            yield self.bucket(customer, now), usage
