Draw the ports of a test fleet together, so that no two are the same

Two listeners of a host then claim one address, the host never starts, and the test fails. Ruled out: a configuration gone stale while the loop stalls (stalls of 1, 3 and 6 s before, between and after connecting all gave 404). Change: free_ports holds all sockets until the last is drawn; the soak and the process test use it too.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -99,7 +99,7 @@
         )
 
     def start_host(self, name, ip, zone="a1"):
-        ports = [free_port(ip) for _ in range(6)]
+        ports = free_ports(6, ip)
         if self.hosts:
             ports = self.ports
         self.ports = ports
@@ -199,9 +199,18 @@
 
 
 def free_port(ip=f"{NETWORK}.0.1"):
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return sock.getsockname()[1]
+    return free_ports(1, ip)[0]
+
+
+def free_ports(count, ip=f"{NETWORK}.0.1"):
+    """Returns different ports; one that was closed may be given again."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind((ip, 0))
+            ports.append(sock.getsockname()[1])
+        return ports
 
 
 def play(scenario, **fields):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -190,8 +190,8 @@
 
     async def start(self, hosts, servers):
         ip = f"{NETWORK}.0.1"
-        self.ports = [gateway_fleet.free_port(ip) for _ in range(6)]
-        self.store_address = (ip, gateway_fleet.free_port(ip))
+        *self.ports, store_port = gateway_fleet.free_ports(7, ip)
+        self.store_address = (ip, store_port)
         await listeners.listen(self.store_address, self.store.stage, self.stack)
         await self.put_configuration()
         for number in range(servers):
--- a/tests/test_entry_host_processes.py
+++ b/tests/test_entry_host_processes.py
@@ -73,10 +73,7 @@
         async with contextlib.AsyncExitStack() as stack:
             fleet = gateway_fleet.Fleet(stack)
             await fleet.start(hosts=0)
-            ports = [
-                gateway_fleet.free_port(gateway_fleet.host_ip(9))
-                for _ in range(6)
-            ]
+            ports = gateway_fleet.free_ports(6, gateway_fleet.host_ip(9))
             path = tmp_path / "node.yaml"
             ip = write_settings(path, fleet, ports)
             program = Program(path, tmp_path / "log", ports[5])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -86,6 +86,12 @@
     gateway_fleet.play(scenario)
 
 
+def test_a_fleet_gets_a_port_of_its_own_for_each_listener():
+    # Drawn one after the other, some of so many would be the same.
+    ports = gateway_fleet.free_ports(500)
+    assert len(set(ports)) == 500
+
+
 def test_a_host_that_knows_no_configuration_answers_503():
     async def scenario(fleet):
         fleet.store.fault = store_lib.Fault.BUSY
