Work out a host's contacts once a tick, and add evidence up in one place

Cause: each tick of the datagrams listed the contacts three to four times, and outliers.py had two loops that add tallies up. Change: Gossip._send_due passes its contacts on; Outliers._count serves both the report to peers and the review. Tests: those of the entry host, outliers, relays, sources and quotas pass.

--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -112,7 +112,7 @@
         pairs = self.placing.warmth.take_untold(warmth.Audience.ALL)
         usages = beats.encode_usages(self.quotas.report(now))
         beat = self._make_beat(usages, pairs)
-        receivers = self._receivers(now)
+        receivers = self._receivers(self.fleet.contacts(now))
         silent = self.fleet.next_silent(now)
         if silent is not None:
             receivers.append(silent)
@@ -124,11 +124,11 @@
                 self.transport.sendto(beats.encode(beat), (ip, self.port))
 
     def _send_due(self, now: float) -> None:
-        receivers = self._receivers(now)
+        contacts = self.fleet.contacts(now)
+        receivers = self._receivers(contacts)
         full_s = max(FULL_BEAT_S, len(receivers) * BEAT_PER_HOST_S)
         due = now - self.full_at >= full_s
-        hosts = len(self.fleet.contacts(now)) + 1
-        if due or self.quotas.needs_report(hosts, now):
+        if due or self.quotas.needs_report(len(contacts) + 1, now):
             self.send_beat()
             return
         near = [m for m in receivers if self.fleet.is_near(m)]
@@ -141,10 +141,11 @@
         self._send(self._make_beat([], pairs), near)
         self.placing.was_busy = False
 
-    def _receivers(self, now: float) -> list[members.Member]:
-        """Returns the peers that this host tells of itself."""
-        contacts = self.fleet.contacts(now)
-        if not self.relays.is_needed(now):
+    def _receivers(
+        self, contacts: list[members.Member]
+    ) -> list[members.Member]:
+        """Returns the contacts that this host tells of itself."""
+        if not relays_lib.is_needed(len(contacts)):
             return contacts
         return [member for member in contacts if self.fleet.is_near(member)]
 
--- a/src/banyanshed/steering/outliers.py
+++ b/src/banyanshed/steering/outliers.py
@@ -218,20 +218,14 @@
         hosts: Collection[models.HostId],
         now: float,
     ) -> Evidence:
-        attempts, bad = 0.0, 0.0
-        passed_at = self.own_passed_at.get(server, float("-inf"))
         tallies = [
             tally
             for host, tally in self.peers.get(server, {}).items()
             if host in hosts
         ]
-        own = self.tallies.get(server)
-        if own is not None:
-            tallies.append(own)
+        attempts, bad = self._count(server, tallies, now)
+        passed_at = self.own_passed_at.get(server, float("-inf"))
         for tally in tallies:
-            more, more_bad = tally.decayed(now)
-            attempts += more
-            bad += more_bad
             if tally.passed_at is not None:
                 passed_at = max(passed_at, tally.passed_at)
         passed_s = now - passed_at
@@ -273,7 +267,7 @@
     ) -> None:
         suspects = []
         for server in servers:
-            suspect = self._sum_up(server, now)
+            suspect = self._suspect(server, now)
             if suspect.bad >= MIN_BAD:
                 suspects.append(suspect)
             elif server.registration.id in self.ejections:
@@ -319,21 +313,31 @@
             server, self.own, self.live_hosts(), TRIAL_HOSTS
         )
 
-    def _sum_up(self, server: views.Server, now: float) -> _Suspect:
+    def _suspect(self, server: views.Server, now: float) -> _Suspect:
+        """Returns what all hosts saw since the server passed a trial."""
         id_ = server.registration.id
-        suspect = _Suspect(server, 0.0, 0.0, 0)
-        own = self.tallies.get(id_)
-        if own is not None:
-            suspect.attempts, suspect.bad = own.decayed(now)
         passed_at = self.passed_at.get(id_, float("-inf"))
-        for tally in self.peers.get(id_, {}).values():
-            if tally.at <= passed_at:
-                continue
-            attempts, bad = tally.decayed(now)
-            suspect.attempts += attempts
-            suspect.bad += bad
-            suspect.hosts += 1
-        return suspect
+        tallies = [
+            tally
+            for tally in self.peers.get(id_, {}).values()
+            if tally.at > passed_at
+        ]
+        attempts, bad = self._count(id_, tallies, now)
+        return _Suspect(server, attempts, bad, len(tallies))
+
+    def _count(
+        self, server: models.ServerId, told: Sequence[Tally], now: float
+    ) -> tuple[float, float]:
+        """Returns attempts and bad ones of this host and of some peers."""
+        attempts, bad = 0.0, 0.0
+        own = self.tallies.get(server)
+        if own is not None:
+            attempts, bad = own.decayed(now)
+        for tally in told:
+            more, more_bad = tally.decayed(now)
+            attempts += more
+            bad += more_bad
+        return attempts, bad
 
     def _take_pass(self, server: models.ServerId, at: float) -> None:
         if at <= self.passed_at.get(server, float("-inf")):
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -80,7 +80,7 @@
 
     def is_needed(self, now: float) -> bool:
         """Whether the fleet is too large to tell each other directly."""
-        return len(self.fleet.contacts(now)) >= MESH_HOSTS
+        return is_needed(len(self.fleet.contacts(now)))
 
     def own_place(self, now: float) -> int | None:
         """Returns this host's place among its region's relays, if any."""
@@ -210,6 +210,11 @@
         return named
 
 
+def is_needed(contacts: int) -> bool:
+    """Whether a host with so many contacts leaves the far ones to relays."""
+    return contacts >= MESH_HOSTS
+
+
 def hash_host(host: members.Host) -> int:
     """Returns the number that stands for a host's process in datagrams."""
     return xxhash.xxh32_intdigest(f"{host.id}\0{host.started_ms}".encode())
