Check the answers' counter of a host that has served

Cause: the test counted 20 answers of any host and then expected sask-a-1 to have served some. Ruled out: a counter that is not counted (it equals what callers saw). Change: the load goes on until the host itself has answered, and the counter must equal the answers that callers got from it, instead of being above 0.

--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -54,11 +54,21 @@
         with self.lock:
             self.answered.append((name, answer))
 
-    def await_answers(self, count):
-        """Waits until so many further requests have been answered."""
+    def answers_of(self, child):
+        """Returns how many requests a host has served."""
+        with self.lock:
+            return sum(a.host == child.address for _, a in self.answered)
+
+    def await_answers(self, count, child=None):
+        """Waits until so many further requests have been answered.
+
+        With a host given, it must have served some of them: until it has its
+        first shares, callers go on to the hosts that have some.
+        """
         wanted = len(self.answered) + count
         for _ in range(AWAIT_STEPS):
-            if len(self.answered) >= wanted:
+            served = child is None or self.answers_of(child) > 0
+            if served and len(self.answered) >= wanted:
                 return
             time.sleep(0.02)
         with self.lock:
@@ -172,13 +182,14 @@
 def test_metrics_tell_what_the_host_knows_and_served(exits):
     installation = start(exits)
     fleet = installation.fleet
-    with Load(installation) as load:
-        load.await_answers(20)
     child = fleet.hosts["sask-a-1"]
+    with Load(installation) as load:
+        load.await_answers(20, child)
     version = child.get("/health")["config_version"]
     lines = child.call("GET", "/metrics").data.decode().splitlines()
     values = dict(line.rsplit(" ", 1) for line in lines if line[0] != "#")
     assert float(values["banyanshed_config_version"]) == version
     assert 0 < float(values["banyanshed_config_age_seconds"]) < 30
     assert float(values['banyanshed_peers{state="live"}']) == 2
-    assert float(values['banyanshed_answers_total{service="bookings"}']) > 0
+    answers = float(values['banyanshed_answers_total{service="bookings"}'])
+    assert answers == load.answers_of(child) > 0
