--- a/benchmarks/choices.py
+++ b/benchmarks/choices.py
@@ -21,6 +21,7 @@
 
 from banyanshed.core import backends
 from banyanshed.core import models
+from banyanshed.core import reports
 from banyanshed.core import requests
 from banyanshed.core import rows
 
@@ -159,7 +160,7 @@
         def act(now_s: float) -> None:
             self.at(now_s + PROBE_INTERVAL_S, act)
             for name, slots in self.slots.items():
-                report = backends.LoadReported(
+                report = reports.LoadReported(
                     SERVICE,
                     models.BackendId(name),
                     self.busy[name],
@@ -190,7 +191,7 @@
                 return
             self.shed += 1
             tried.add(name)
-            host.handle(backends.AttemptFinished(attempt, SHED), now_s)
+            host.handle(reports.AttemptFinished(attempt, SHED), now_s)
         self.lost += 1
 
     def has_unit(self, host: backends.Backends) -> bool:
@@ -199,7 +200,7 @@
         return in_flight < self.units[host.host]
 
     def start(
-        self, host: backends.Backends, attempt: backends.Attempt, now_s: float
+        self, host: backends.Backends, attempt: reports.Attempt, now_s: float
     ) -> None:
         """A backend server takes a request."""
         name = attempt.target.backend
@@ -207,7 +208,7 @@
 
         def end(end_s: float) -> None:
             self.busy[name] -= 1
-            host.handle(backends.AttemptFinished(attempt, ANSWER), end_s)
+            host.handle(reports.AttemptFinished(attempt, ANSWER), end_s)
 
         work_s = self.rng.expovariate(1 / self.site.work_s)
         self.at(now_s + work_s, end)
@@ -217,7 +218,7 @@
         host: backends.Backends,
         now_s: float,
         tried: set[models.BackendId],
-    ) -> backends.Attempt | None:
+    ) -> reports.Attempt | None:
         """Returns an attempt by the policy measured."""
         if self.policy in ("banyanshed", "outdated", "independent"):
             return host.choose(now_s, SERVICE, REGION, tried)
@@ -238,7 +239,7 @@
         now_s = number / 1000
         attempt = host.choose(now_s, SERVICE, REGION)
         if attempt is not None:
-            host.handle(backends.AttemptFinished(attempt, ANSWER), now_s)
+            host.handle(reports.AttemptFinished(attempt, ANSWER), now_s)
     cost_us = (time.process_time() - start_s) / COST_ROUNDS * 1e6
     print(f"choice among 14 and its end: {cost_us:.1f} us")
 
--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -23,6 +23,8 @@
 from banyanshed.core import sessions
 from banyanshed.core import shares
 from banyanshed.edges import codec
+from banyanshed.edges import peer_clients
+from banyanshed.edges import peer_servers
 from banyanshed.edges import peers
 from benchmarks import wires
 
@@ -291,12 +293,16 @@
     size = codec.encoded_bytes(message)
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(capnp.kj_loop())
-        server = peers.PeerServer(node.profile.host, SECRET, Echo(message))
+        server = peer_servers.PeerServer(
+            node.profile.host, SECRET, Echo(message)
+        )
         await stack.enter_async_context(server)
         address = await server.start("127.0.0.1:0")
         relay = Relay(address)
         counted = await relay.start(stack)
-        client = peers.PeerClient(node.profile.host, SECRET, random.Random(1))
+        client = peer_clients.PeerClient(
+            node.profile.host, SECRET, random.Random(1)
+        )
         await stack.enter_async_context(client)
         await client.gossip(counted, message)
         first = relay.bytes
@@ -328,7 +334,7 @@
 
 
 async def time_calls(
-    client: peers.PeerClient,
+    client: peer_clients.PeerClient,
     address: str,
     message: gossip.GossipMessage,
     count: int,
--- a/src/banyanshed/core/holdings.py
+++ b/src/banyanshed/core/holdings.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from banyanshed.core import buckets
+from banyanshed.core import planning
 from banyanshed.core import sessions
 from banyanshed.core import shares
 
@@ -65,7 +66,7 @@
     target: int = 0
     in_use: int = 0
     peak: buckets.PeakMeter = dataclasses.field(
-        default_factory=lambda: buckets.PeakMeter(shares.COOLING_S)
+        default_factory=lambda: buckets.PeakMeter(planning.COOLING_S)
     )
     meter: buckets.RateMeter = dataclasses.field(
         default_factory=buckets.RateMeter
@@ -77,7 +78,7 @@
 
 
 Held = HeldRate | HeldUnits
-Plan = shares.RatePlan | shares.UnitPlan
+Plan = planning.RatePlan | planning.UnitPlan
 
 
 @functools.singledispatch
@@ -121,7 +122,7 @@
     leaving: bool,
 ) -> Plan:
     held.bucket.refill(now_s)
-    ask = shares.RateAsk(
+    ask = planning.RateAsk(
         session,
         write_id,
         held.meter.read(now_s),
@@ -130,7 +131,7 @@
         leaving,
         held.refused > 0,
     )
-    return shares.plan_rate(held.limit, share, ask, moment)
+    return planning.plan_rate(held.limit, share, ask, moment)
 
 
 @make_plan.register
@@ -146,8 +147,10 @@
     peak = held.peak.read(now_s, held.in_use)
     load = held.meter.read(now_s) * held.lasting_s
     wanted = max(1, math.ceil(load + math.sqrt(load)))
-    ask = shares.UnitAsk(session, write_id, held.in_use, peak, wanted, leaving)
-    return shares.plan_units(held.limit, share, ask, moment)
+    ask = planning.UnitAsk(
+        session, write_id, held.in_use, peak, wanted, leaving
+    )
+    return planning.plan_units(held.limit, share, ask, moment)
 
 
 @functools.singledispatch
@@ -157,7 +160,9 @@
 
 
 @give_up.register
-def _give_up_rate(held: HeldRate, now_s: float, plan: shares.RatePlan) -> None:
+def _give_up_rate(
+    held: HeldRate, now_s: float, plan: planning.RatePlan
+) -> None:
     bucket = held.bucket
     bucket.refill(now_s)
     bucket.tokens = max(0.0, bucket.tokens + min(0.0, plan.tokens))
@@ -175,7 +180,7 @@
 
 @give_up.register
 def _give_up_units(
-    held: HeldUnits, now_s: float, plan: shares.UnitPlan
+    held: HeldUnits, now_s: float, plan: planning.UnitPlan
 ) -> None:
     held.units = min(held.units, plan.grant.units)
     held.target = min(held.target, plan.target)
@@ -188,7 +193,9 @@
 
 
 @take_up.register
-def _take_up_rate(held: HeldRate, now_s: float, plan: shares.RatePlan) -> None:
+def _take_up_rate(
+    held: HeldRate, now_s: float, plan: planning.RatePlan
+) -> None:
     held.uncertain.clear()
     held.refused = 0
     _resize(held, now_s, plan.grant)
@@ -197,7 +204,7 @@
 
 @take_up.register
 def _take_up_units(
-    held: HeldUnits, now_s: float, plan: shares.UnitPlan
+    held: HeldUnits, now_s: float, plan: planning.UnitPlan
 ) -> None:
     held.uncertain.clear()
     held.refused = 0
@@ -213,14 +220,14 @@
 
 @take_back.register
 def _take_back_rate(
-    held: HeldRate, now_s: float, plan: shares.RatePlan
+    held: HeldRate, now_s: float, plan: planning.RatePlan
 ) -> None:
     held.bucket.put(max(0.0, -plan.tokens))
 
 
 @take_back.register
 def _take_back_units(
-    held: HeldUnits, now_s: float, plan: shares.UnitPlan
+    held: HeldUnits, now_s: float, plan: planning.UnitPlan
 ) -> None:
     return None
 
@@ -260,12 +267,12 @@
 
 
 @keep.register
-def _keep_rate(held: HeldRate, plan: shares.RatePlan) -> None:
+def _keep_rate(held: HeldRate, plan: planning.RatePlan) -> None:
     return None
 
 
 @keep.register
-def _keep_units(held: HeldUnits, plan: shares.UnitPlan) -> None:
+def _keep_units(held: HeldUnits, plan: planning.UnitPlan) -> None:
     held.target = min(held.units, plan.target)
 
 
--- a/src/banyanshed/core/leases.py
+++ b/src/banyanshed/core/leases.py
@@ -15,6 +15,7 @@
 from banyanshed.core import admissions
 from banyanshed.core import holdings
 from banyanshed.core import models
+from banyanshed.core import planning
 from banyanshed.core import sessions
 from banyanshed.core import shares
 from banyanshed.core import witnessing
@@ -728,7 +729,7 @@
             held = self.held.get(key)
             if held is None:
                 continue
-            gain = plan.tokens if isinstance(plan, shares.RatePlan) else 0.0
+            gain = plan.tokens if isinstance(plan, planning.RatePlan) else 0.0
             held.uncertain[pending.write_id] = max(0.0, gain)
             held.uncertain_version = pending.conditions[key]
         if pending.session is not None:
--- /dev/null
+++ b/src/banyanshed/core/probes.py
@@ -0,0 +1,99 @@
+"""When to ask backend servers for their health; no input or output."""
+
+from collections.abc import Iterator
+import dataclasses
+import random
+
+from banyanshed.core import backends as backends_module
+from banyanshed.core import events
+from banyanshed.core import models
+from banyanshed.core import reports
+
+PROBE_INTERVAL_S = 1.0
+PROBE_JITTER = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """A question for a backend server's health and load.
+
+    Attributes:
+        service: Service of the backend server.
+        backend: Its id.
+        address: "IP:port".
+        silent: The last question to it got no answer in time.
+    """
+
+    service: models.ServiceId
+    backend: models.BackendId
+    address: str
+    silent: bool
+
+
+class Probes:
+    """The questions of one host to its backend servers."""
+
+    def __init__(self, backends: backends_module.Backends, rng: random.Random):
+        """Takes the backend servers and a source of jitter."""
+        self.backends = backends
+        self.rng = rng
+        self.due_s: dict[tuple[str, str], float] = {}
+        self.probing: set[tuple[str, str]] = set()
+        self.silent: set[tuple[str, str]] = set()
+
+    def due(self, now_s: float) -> Iterator[Probe]:
+        """Yields the backend servers to ask for health and load now."""
+        for backend in list(self.backends.probed()):
+            row = backend.row
+            key = (row.service, row.backend)
+            # Silent ones must not pile up questions.
+            if key in self.probing or now_s < self.due_s.get(key, 0.0):
+                continue
+            self.probing.add(key)
+            jitter = self.rng.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
+            self.due_s[key] = now_s + PROBE_INTERVAL_S * jitter
+            yield Probe(
+                models.ServiceId(row.service),
+                models.BackendId(row.backend),
+                row.address,
+                key in self.silent,
+            )
+
+    def take(
+        self,
+        now_s: float,
+        sent_s: float,
+        probe: Probe,
+        result: events.ProbeResult,
+    ) -> None:
+        """Takes what a probe sent at `sent_s` found.
+
+        It is due for each probe that `due` yielded.
+        """
+        key = (probe.service, probe.backend)
+        self.probing.discard(key)
+        self.silent.discard(key)
+        if result.state is None and not result.refused:
+            self.silent.add(key)
+        self.backends.handle(
+            reports.HealthReported(
+                probe.service,
+                probe.backend,
+                result.state,
+                result.refused,
+                sent_s,
+            ),
+            now_s,
+        )
+        if result.in_flight is None or result.slots is None:
+            return
+        self.backends.handle(
+            reports.LoadReported(
+                probe.service,
+                probe.backend,
+                result.in_flight,
+                result.slots,
+                sent_s,
+            ),
+            now_s,
+        )
--- a/src/banyanshed/core/routing.py
+++ b/src/banyanshed/core/routing.py
@@ -5,8 +5,8 @@
 import math
 from typing import Generic, Protocol, TypeVar
 
-from banyanshed.core import backends
 from banyanshed.core import models
+from banyanshed.core import reports
 from banyanshed.core import rows
 
 NO_CAPACITY_RETRY_S = 1.0
@@ -52,7 +52,7 @@
         service: models.ServiceId,
         region: models.RegionId,
         exclude: Set[models.BackendId] = frozenset(),
-    ) -> backends.Attempt | None:
+    ) -> reports.Attempt | None:
         """Returns an attempt, or None when no backend server is free."""
 
 
@@ -82,7 +82,7 @@
         homeward: Bytes set aside on the link back; None at home.
     """
 
-    attempt: backends.Attempt
+    attempt: reports.Attempt
     unit: U
     outward: R | None
     homeward: R | None
--- a/src/banyanshed/core/traffic.py
+++ b/src/banyanshed/core/traffic.py
@@ -4,7 +4,6 @@
 decisions go to the reply functions that the events carry.
 """
 
-from collections.abc import Iterator
 import dataclasses
 import functools
 import heapq
@@ -20,7 +19,9 @@
 from banyanshed.core import freshness
 from banyanshed.core import leases
 from banyanshed.core import models
+from banyanshed.core import probes
 from banyanshed.core import problems
+from banyanshed.core import reports
 from banyanshed.core import requests
 from banyanshed.core import retries
 from banyanshed.core import routing
@@ -38,8 +39,6 @@
 MAX_UNSHARED = 64
 NO_DIGEST = models.KeyDigest("")
 LEAVING_RETRY_S = 0.5
-PROBE_INTERVAL_S = 1.0
-PROBE_JITTER = 0.1
 
 Placement = routing.Placement[admissions.Unit, admissions.Reservation]
 
@@ -84,23 +83,6 @@
     give_up_s: float
 
 
-@dataclasses.dataclass(frozen=True)
-class Probe:
-    """A question for a backend server's health and load.
-
-    Attributes:
-        service: Service of the backend server.
-        backend: Its id.
-        address: "IP:port".
-        silent: The last question to it got no answer in time.
-    """
-
-    service: models.ServiceId
-    backend: models.BackendId
-    address: str
-    silent: bool
-
-
 class Traffic:
     """All requests of one host; owned by the loop's thread."""
 
@@ -126,6 +108,7 @@
                 models.RegionId(settings.region), shares, self.backends
             )
         )
+        self.probes = probes.Probes(self.backends, rng)
         self.unit_watch = slots.UnitWatch()
         self.budget = retries.RetryBudget()
         self.queue = waiting.WaitQueue(rng, settings.waiting_limit)
@@ -134,9 +117,6 @@
         self.sequence = itertools.count()
         self.words = itertools.count(1)
         self.leaving_addresses: frozenset[str] = frozenset()
-        self.probe_due_s: dict[tuple[str, str], float] = {}
-        self.probing: set[tuple[str, str]] = set()
-        self.silent: set[tuple[str, str]] = set()
         self.retried = 0
 
     @property
@@ -176,7 +156,7 @@
         self.backends.configure(now_s, backend_rows, self.config.version)
         for row in backend_rows:
             leaving = rows.row_key(row) in drained
-            self._report(now_s, row, backends.Sign.DRAIN, leaving)
+            self._report(now_s, row, reports.Sign.DRAIN, leaving)
             self._report_listed(now_s, row)
 
     def on_leaving_hosts(self, now_s: float, addresses: frozenset[str]) -> None:
@@ -189,19 +169,19 @@
 
     def _report_listed(self, now_s: float, row: rows.BackendRow) -> None:
         leaving = row.address in self.leaving_addresses
-        self._report(now_s, row, backends.Sign.HOST_LIST, leaving)
+        self._report(now_s, row, reports.Sign.HOST_LIST, leaving)
 
     def _report(
         self,
         now_s: float,
         row: rows.BackendRow,
-        sign: backends.Sign,
+        sign: reports.Sign,
         leaving: bool,
     ) -> None:
         state = models.BackendState.LIVE
         if leaving:
             state = models.BackendState.LEAVING
-        report = backends.SignReported(
+        report = reports.SignReported(
             models.ServiceId(row.service),
             models.BackendId(row.backend),
             sign,
@@ -478,11 +458,11 @@
         )
         if lapsed:
             self.backends.handle(
-                backends.AttemptDropped(placement.attempt), now_s
+                reports.AttemptDropped(placement.attempt), now_s
             )
             return
         self.backends.handle(
-            backends.AttemptFinished(placement.attempt, outcome), now_s
+            reports.AttemptFinished(placement.attempt, outcome), now_s
         )
         if isinstance(outcome, requests.AttemptFailure):
             backend = placement.attempt.target.backend
@@ -561,65 +541,6 @@
         for _ in self.queue.serve(now_s, place):
             continue
 
-    # Health of backend servers.
-
-    def due_probes(self, now_s: float) -> Iterator[Probe]:
-        """Yields the backend servers to ask for health and load now."""
-        for backend in list(self.backends.probed()):
-            row = backend.row
-            key = (row.service, row.backend)
-            # Silent ones must not pile up questions.
-            if key in self.probing or now_s < self.probe_due_s.get(key, 0.0):
-                continue
-            self.probing.add(key)
-            jitter = self.rng.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
-            self.probe_due_s[key] = now_s + PROBE_INTERVAL_S * jitter
-            yield Probe(
-                models.ServiceId(row.service),
-                models.BackendId(row.backend),
-                row.address,
-                key in self.silent,
-            )
-
-    def on_probe(
-        self,
-        now_s: float,
-        sent_s: float,
-        probe: Probe,
-        result: events.ProbeResult,
-    ) -> None:
-        """Takes what a probe sent at `sent_s` found.
-
-        It is due for each probe that `due_probes` yielded.
-        """
-        key = (probe.service, probe.backend)
-        self.probing.discard(key)
-        self.silent.discard(key)
-        if result.state is None and not result.refused:
-            self.silent.add(key)
-        self.backends.handle(
-            backends.HealthReported(
-                probe.service,
-                probe.backend,
-                result.state,
-                result.refused,
-                sent_s,
-            ),
-            now_s,
-        )
-        if result.in_flight is None or result.slots is None:
-            return
-        self.backends.handle(
-            backends.LoadReported(
-                probe.service,
-                probe.backend,
-                result.in_flight,
-                result.slots,
-                sent_s,
-            ),
-            now_s,
-        )
-
     def state(self, now_s: float) -> dict[str, Any]:
         """Returns the state as JSON data."""
         return {
--- a/src/banyanshed/daemon.py
+++ b/src/banyanshed/daemon.py
@@ -23,15 +23,14 @@
 from banyanshed.core import configuration
 from banyanshed.core import deltas
 from banyanshed.core import entry as entries
-from banyanshed.core import events
 from banyanshed.core import handover
 from banyanshed.core import leases
 from banyanshed.core import models
+from banyanshed.core import probes
 from banyanshed.core import requests
 from banyanshed.core import rows
 from banyanshed.core import sessions
 from banyanshed.core import shares
-from banyanshed.core import traffic
 from banyanshed.edges import bridge as bridges
 from banyanshed.edges import forwarding
 from banyanshed.edges import hostlists
@@ -40,8 +39,11 @@
 from banyanshed.edges import mirrors
 from banyanshed.edges import objects
 from banyanshed.edges import operators
+from banyanshed.edges import peer_clients
+from banyanshed.edges import peer_servers
 from banyanshed.edges import peering
 from banyanshed.edges import peers
+from banyanshed.edges import probing
 from banyanshed.edges import server
 from banyanshed.edges import serving
 from banyanshed.edges import tables
@@ -57,9 +59,6 @@
 IDLE_TRAFFIC_STEP_S = 0.1
 HOST_LIST_INTERVAL_S = 2.0
 FLUSH_INTERVAL_S = 1.0
-PROBE_TIMEOUT_S = 0.5
-PROBE_THREADS = 32
-SILENT_PROBE_THREADS = 8
 IN_FLIGHT_STEP_S = 0.02
 RETURN_TIMEOUT_S = 5.0
 GIVE_AFTER_S = 1.5
@@ -122,9 +121,7 @@
                 self.settings.platform_threads
             )
         )
-        self.probe_pool = _probe_pool(exits, PROBE_THREADS)
-        # Silent backend servers hold a thread until the timeout.
-        self.silent_pool = _probe_pool(exits, SILENT_PROBE_THREADS)
+        self.prober = probing.Prober(exits)
         for adapter in (self.table, self.objects, self.host_list):
             exits.callback(adapter.close)
         exits.enter_context(self.forwarder)
@@ -141,7 +138,7 @@
     async def _start_peers(self, exits: contextlib.AsyncExitStack) -> None:
         secret = self.settings.fleet_secret.get_secret_value().encode()
         self.client = await exits.enter_async_context(
-            peers.PeerClient(self.entry.host, secret, self.rng)
+            peer_clients.PeerClient(self.entry.host, secret, self.rng)
         )
         self.peering = peering.Peering(
             self.entry.gossip,
@@ -152,7 +149,7 @@
             self.entry.adoptions,
         )
         peer_server = await exits.enter_async_context(
-            peers.PeerServer(self.entry.host, secret, self.peering)
+            peer_servers.PeerServer(self.entry.host, secret, self.peering)
         )
         await peer_server.start(self.settings.peer_address)
         await exits.enter_async_context(self.peering)
@@ -437,14 +434,12 @@
         now_s = time.monotonic()
         self.entry.traffic.tick(now_s)
         self._hasten()
-        for probe in self.entry.traffic.due_probes(now_s):
+        for probe in self.entry.traffic.probes.due(now_s):
             self._spawn(self._probe(probe))
 
-    async def _probe(self, probe: traffic.Probe) -> None:
-        loop = asyncio.get_running_loop()
-        pool = self.silent_pool if probe.silent else self.probe_pool
-        sent_s, result = await loop.run_in_executor(pool, _ask_health, probe)
-        self.entry.traffic.on_probe(time.monotonic(), sent_s, probe, result)
+    async def _probe(self, probe: probes.Probe) -> None:
+        sent_s, result = await self.prober.ask(probe)
+        self.entry.traffic.probes.take(time.monotonic(), sent_s, probe, result)
 
     # Called from pool threads.
 
@@ -541,24 +536,6 @@
         self.peering.on_version()
 
 
-def _ask_health(probe: traffic.Probe) -> tuple[float, events.ProbeResult]:
-    """Returns when a backend server was asked and what was learnt."""
-    sent_s = time.monotonic()
-    try:
-        return sent_s, forwarding.probe(probe.address, PROBE_TIMEOUT_S)
-    except Exception:  # A probe that is not accounted for would be the last.
-        return sent_s, events.ProbeResult(None, code="probe_failed")
-
-
-def _probe_pool(
-    exits: contextlib.AsyncExitStack, threads: int
-) -> concurrent.futures.Executor:
-    """Returns a pool that does not wait for queued probes at its end."""
-    pool = concurrent.futures.ThreadPoolExecutor(threads)
-    exits.callback(pool.shutdown, cancel_futures=True)
-    return pool
-
-
 async def _cancel(task: asyncio.Task[Any]) -> None:
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/src/banyanshed/edges/operators.py
+++ b/src/banyanshed/edges/operators.py
@@ -14,7 +14,6 @@
 from typing import Any, Protocol
 
 import cherrypy
-import pydantic
 
 from banyanshed import exceptions
 from banyanshed.core import blocks
@@ -26,10 +25,10 @@
 from banyanshed.core import rows
 from banyanshed.core import services
 from banyanshed.core import sheets
+from banyanshed.edges import bodies
 from banyanshed.edges import editing
 from banyanshed.edges import logs
 
-BODY_LIMIT_BYTES = 8 << 20
 RETRY_AFTER_S = 1
 BLOCK_KIND = "block"
 JSON_TYPE = "application/json"
@@ -48,56 +47,6 @@
         """Returns all entry hosts that the daemon knows."""
 
 
-class Body(pydantic.BaseModel):
-    """Base of the bodies of calls; unknown fields are refused."""
-
-    model_config = pydantic.ConfigDict(extra="forbid", allow_inf_nan=False)
-
-
-class EditBody(Body):
-    """One row to write, or to delete when it has no value."""
-
-    key: str
-    version: int = models.ABSENT_VERSION
-    value: dict[str, Any] | None
-
-
-class EditsBody(Body):
-    """Rows to write or delete together."""
-
-    edits: list[EditBody]
-
-
-class DrainBody(Body):
-    """A drain to plan; its start counts from now."""
-
-    drain: rows.Name
-    service: rows.Name
-    region: rows.Name | None = None
-    backend: rows.Name | None = None
-    starts_in_s: float = pydantic.Field(default=0, ge=0)
-    lasts_s: float = pydantic.Field(gt=0)
-
-
-class NameBody(Body):
-    """Names a drain."""
-
-    drain: rows.Name
-
-
-class KeyBody(Body):
-    """A key to issue."""
-
-    tenant: rows.Name
-    label: str = ""
-
-
-class DigestBody(Body):
-    """Names a key by its digest."""
-
-    digest: str = pydantic.Field(pattern="^[0-9a-f]{64}$")
-
-
 @dataclasses.dataclass(frozen=True)
 class _Selection:
     """Rows of one version of the configuration."""
@@ -107,16 +56,6 @@
     findings: list[exceptions.Finding]
 
 
-class Refused(Exception):
-    """Carries a refusal and further fields of its problem form."""
-
-    def __init__(self, refusal: models.Refusal, **fields: Any):
-        """Takes the refusal and the further fields."""
-        super().__init__(refusal.code)
-        self.refusal = refusal
-        self.fields = fields
-
-
 def operator_call(method: str) -> Callable[..., Any]:
     """Exposes a handler to authenticated operators for one HTTP method."""
 
@@ -165,7 +104,7 @@
         if token is not None:
             operator = keys.find_operator(token, self.operators)
         if operator is None:
-            raise Refused(
+            raise bodies.Refused(
                 problems.refuse(
                     401, "operator_unknown", "An operator's token is needed."
                 )
@@ -223,15 +162,15 @@
     @operator_call("POST")
     def edit(self, operator: str) -> bytes:
         """Writes or deletes rows together, if none changed since read."""
-        body = _read_model(EditsBody)
-        edits, versions = _parse_edits(body)
+        body = bodies.read_model(bodies.EditsBody)
+        edits, versions = bodies.parse_edits(body)
         return self._commit(edits, versions, operator)
 
     @operator_call("POST")
     def sheet(self, operator: str) -> bytes:
         """Writes the rows of a CSV sheet together."""
         try:
-            text = _read_body().decode("utf-8")
+            text = bodies.read_body().decode("utf-8")
         except UnicodeDecodeError as error:
             finding = exceptions.Finding(
                 f"byte {error.start}", "encoding", "expected UTF-8"
@@ -255,27 +194,27 @@
     @operator_call("POST")
     def drain(self, operator: str) -> bytes:
         """Plans a drain by the clock of the table service."""
-        body = _read_model(DrainBody)
+        body = bodies.read_model(bodies.DrainBody)
         starts_s = self.editor.store_now_s() + body.starts_in_s
         value = body.model_dump(exclude={"starts_in_s", "lasts_s"})
         value["kind"] = "drain"
         value["starts_s"] = starts_s
         value["ends_s"] = starts_s + body.lasts_s
-        row = _parse_row(value, f"drain {body.drain}")
+        row = bodies.parse_row(value, f"drain {body.drain}")
         edit = edit_rules.Edit(rows.row_key(row), row, f"drain {body.drain}")
         return self._commit([edit], {}, operator)
 
     @operator_call("POST")
     def cancel_drain(self, operator: str) -> bytes:
         """Cancels a drain, planned or under way."""
-        name = _read_model(NameBody).drain
+        name = bodies.read_model(bodies.NameBody).drain
         key = f"{rows.CONFIG_PREFIX}drain/{name}"
         return self._delete(key, f"drain {name}", operator)
 
     @operator_call("POST")
     def key(self, operator: str) -> bytes:
         """Issues a key; only this answer ever shows it."""
-        body = _read_model(KeyBody)
+        body = bodies.read_model(bodies.KeyBody)
         secret = keys.make_key()
         digest = keys.digest(secret)
         row = rows.KeyRow(digest=digest, tenant=body.tenant, label=body.label)
@@ -290,13 +229,13 @@
     @operator_call("POST")
     def withdraw_key(self, operator: str) -> bytes:
         """Withdraws a key."""
-        digest = _read_model(DigestBody).digest
+        digest = bodies.read_model(bodies.DigestBody).digest
         key = f"{rows.CONFIG_PREFIX}key/{digest}"
         return self._delete(key, f"key {digest}", operator)
 
     def _stored(self, kind: str, key: str) -> _Selection:
         if kind and kind not in sheets.COLUMNS:
-            raise Refused(
+            raise bodies.Refused(
                 problems.refuse(404, "unknown_kind", "No such kind of row.")
             )
         selection, block_map = self.daemon.inspect(
@@ -315,7 +254,7 @@
         """Deletes a row whatever its content is now."""
         stored = self.editor.stored(key)
         if stored.value is None:
-            raise Refused(
+            raise bodies.Refused(
                 problems.refuse(404, "unknown_row", f"There is no {place}.")
             )
         edit = edit_rules.Edit(key, None, place)
@@ -356,11 +295,13 @@
 
 def _check_call(method: str, path: tuple[str, ...]) -> None:
     if path:
-        raise Refused(problems.refuse(404, "unknown_path", "No such page."))
+        raise bodies.Refused(
+            problems.refuse(404, "unknown_path", "No such page.")
+        )
     if cherrypy.request.method == method:
         return
     cherrypy.response.headers["Allow"] = method
-    raise Refused(
+    raise bodies.Refused(
         problems.refuse(405, "wrong_method", f"This page takes {method}.")
     )
 
@@ -373,86 +314,13 @@
     for name, value in query.items():
         if name in known and isinstance(value, str):
             continue
-        raise Refused(
+        raise bodies.Refused(
             problems.refuse(
                 400, "bad_query", f"This page takes {known} once each."
             )
         )
 
 
-def _read_body() -> bytes:
-    length = cherrypy.request.headers.get("Content-Length", "")
-    if not (length.isascii() and length.isdigit()):
-        raise Refused(
-            problems.refuse(411, "no_length", "Content-Length is needed.")
-        )
-    if int(length) > BODY_LIMIT_BYTES:
-        raise Refused(
-            problems.refuse(
-                413, "too_large", f"At most {BODY_LIMIT_BYTES} bytes."
-            )
-        )
-    content = cherrypy.request.rfile.read(int(length))
-    if len(content) < int(length):
-        raise Refused(problems.refuse(400, "truncated", "The body was cut."))
-    return content
-
-
-def _read_model(model: type[Any]) -> Any:
-    try:
-        return model.model_validate_json(_read_body())
-    except pydantic.ValidationError as error:
-        findings = []
-        for detail in error.errors(include_input=False, include_url=False):
-            field = ".".join(str(part) for part in detail["loc"])
-            findings.append(
-                exceptions.Finding(
-                    f"field {field}" if field else "body",
-                    detail["type"],
-                    detail["msg"],
-                )
-            )
-        raise exceptions.InvalidInput(findings) from None
-
-
-def _parse_row(value: Any, place: str) -> rows.AnyRow:
-    try:
-        return rows.ROW_ADAPTER.validate_python(value)
-    except pydantic.ValidationError as error:
-        raise exceptions.InvalidInput(
-            configurations.row_findings(place, error)
-        ) from None
-
-
-def _parse_edits(
-    body: EditsBody,
-) -> tuple[list[edit_rules.Edit], dict[str, int]]:
-    edits = []
-    versions: dict[str, int] = {}
-    findings: list[exceptions.Finding] = []
-    for item in body.edits:
-        place = f"row {item.key}"
-        versions.setdefault(item.key, item.version)
-        if not item.key.startswith(rows.CONFIG_PREFIX):
-            findings.append(
-                exceptions.Finding(place, "wrong_key", "no configuration row")
-            )
-            continue
-        row = None
-        if item.value is not None:
-            try:
-                row = configurations.parse_row(
-                    models.TableRow(item.key, item.version, item.value)
-                )
-            except exceptions.InvalidInput as error:
-                findings.extend(error.findings)
-                continue
-        edits.append(edit_rules.Edit(item.key, row, place))
-    if findings:
-        raise exceptions.InvalidInput(findings)
-    return edits, versions
-
-
 def _encode_row(row: models.TableRow) -> dict[str, Any]:
     return {"key": row.key, "version": row.version, "value": row.value}
 
@@ -475,8 +343,8 @@
     return content
 
 
-def _unknown(error: exceptions.StoreTimeout, **fields: Any) -> Refused:
-    return Refused(
+def _unknown(error: exceptions.StoreTimeout, **fields: Any) -> bodies.Refused:
+    return bodies.Refused(
         problems.refuse(
             504,
             error.code,
@@ -489,9 +357,9 @@
 
 
 @functools.singledispatch
-def _as_refused(error: Exception) -> Refused:
+def _as_refused(error: Exception) -> bodies.Refused:
     logs.log("operator_call_failed", error=type(error).__name__)
-    return Refused(
+    return bodies.Refused(
         problems.refuse(
             500,
             "internal",
@@ -502,27 +370,27 @@
 
 
 @_as_refused.register
-def _(error: Refused) -> Refused:
+def _(error: bodies.Refused) -> bodies.Refused:
     return error
 
 
 @_as_refused.register
-def _(error: exceptions.InvalidInput) -> Refused:
-    return Refused(
+def _(error: exceptions.InvalidInput) -> bodies.Refused:
+    return bodies.Refused(
         problems.refuse(422, error.code, "The input was refused whole."),
         findings=[_encode_finding(finding) for finding in error.findings],
     )
 
 
 @_as_refused.register
-def _(error: editing.LostRace) -> Refused:
+def _(error: editing.LostRace) -> bodies.Refused:
     lost = []
     for edit, row in zip(error.edits, error.rows, strict=True):
         yours = None
         if edit.row is not None:
             yours = configurations.encode_row(edit.row)
         lost.append(_encode_row(row) | {"yours": yours})
-    return Refused(
+    return bodies.Refused(
         problems.refuse(
             409, error.code, "Rows were changed since they were read."
         ),
@@ -531,8 +399,8 @@
 
 
 @_as_refused.register
-def _(error: exceptions.StoreUnavailable) -> Refused:
-    return Refused(
+def _(error: exceptions.StoreUnavailable) -> bodies.Refused:
+    return bodies.Refused(
         problems.refuse(
             503,
             error.code,
@@ -543,7 +411,7 @@
 
 
 @_as_refused.register
-def _(error: exceptions.StoreTimeout) -> Refused:
+def _(error: exceptions.StoreTimeout) -> bodies.Refused:
     return _unknown(error)
 
 
--- /dev/null
+++ b/src/banyanshed/edges/peer_clients.py
@@ -0,0 +1,302 @@
+"""Calls peers over kept connections, with a back-off after failures."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import hmac
+import random
+import secrets
+import socket
+from typing import Any
+
+import capnp
+
+from banyanshed import addresses
+from banyanshed import exceptions
+from banyanshed.core import gossip
+from banyanshed.core import handover
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.edges import codec
+from banyanshed.edges import peers
+
+BACKOFF_FIRST_S = 0.25
+BACKOFF_MAX_S = 8.0
+
+
+@dataclasses.dataclass
+class Opened:
+    """One address that this host connects to.
+
+    Attributes:
+        lock: Held while connecting.
+        stack: Owns the connection; None when there is none.
+        peer: The capability that answers calls; None when unconnected.
+        used_s: When the last call began, in the loop's time.
+        calls: Calls under way.
+        failures: Failed connections in a row.
+        retry_at_s: Earliest time of the next connection.
+    """
+
+    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    stack: contextlib.AsyncExitStack | None = None
+    peer: Any = None
+    used_s: float = 0.0
+    calls: int = 0
+    failures: int = 0
+    retry_at_s: float = 0.0
+
+
+class PeerClient:
+    """Calls peers; keeps a bounded number of connections for reuse.
+
+    Attributes:
+        opened: Known addresses, connected or backing off.
+    """
+
+    def __init__(
+        self,
+        host: models.HostId,
+        secret: bytes,
+        rng: random.Random,
+        limits: peers.PeerLimits | None = None,
+    ):
+        """Starts without connections.
+
+        Args:
+            host: This host.
+            secret: The fleet secret.
+            rng: Source of jitter.
+            limits: Bounds of time and number.
+        """
+        self.host = host
+        self.secret = secret
+        self.rng = rng
+        self.limits = limits or peers.PeerLimits()
+        self.opened: dict[str, Opened] = {}
+
+    async def gossip(
+        self, address: str, message: gossip.GossipMessage
+    ) -> gossip.GossipMessage:
+        """Returns the reply to a question; raises PeerError."""
+
+        def send(peer: Any) -> Any:
+            request = peer.gossip_request()
+            codec.write_message(request.init("message"), message)
+            return request.send()
+
+        def read(answer: Any) -> gossip.GossipMessage:
+            return codec.read_message(answer.reply)
+
+        return await self._call(address, send, read)
+
+    async def heartbeat(
+        self, address: str, heartbeat: sessions.Heartbeat
+    ) -> sessions.Acknowledgement:
+        """Returns the witness's answer; raises PeerError."""
+
+        def send(peer: Any) -> Any:
+            request = peer.heartbeat_request()
+            codec.write_heartbeat(request.init("heartbeat"), heartbeat)
+            return request.send()
+
+        def read(answer: Any) -> sessions.Acknowledgement:
+            return codec.read_answer(answer.answer)
+
+        return await self._call(address, send, read)
+
+    async def open_handover(self, address: str) -> handover.Opening:
+        """Returns the peer's process and time; raises PeerError."""
+
+        def send(peer: Any) -> Any:
+            return peer.openHandover()
+
+        def read(answer: Any) -> handover.Opening:
+            return handover.Opening(
+                sessions.Incarnation(answer.incarnation), answer.openedS
+            )
+
+        return await self._call(address, send, read)
+
+    async def hand_over(
+        self, address: str, opening: handover.Opening, content: bytes
+    ) -> bool:
+        """Returns whether the peer took the session; raises PeerError."""
+
+        def send(peer: Any) -> Any:
+            return peer.handOver(opening.incarnation, opening.opened_s, content)
+
+        def read(answer: Any) -> bool:
+            return bool(answer.taken)
+
+        return await self._call(address, send, read)
+
+    async def fetch_delta(self, address: str, since: int) -> peers.Delta:
+        """Returns the rows changed after a version; raises PeerError."""
+        version = 0
+        content = bytearray()
+        while True:
+            chunk = await self._fetch_chunk(
+                address, since, version, len(content)
+            )
+            if chunk.size > peers.MAX_DELTA_BYTES:
+                raise exceptions.PeerMalformed(f"delta of {chunk.size} bytes")
+            version = chunk.version
+            content += chunk.content
+            if len(content) >= chunk.size:
+                return peers.Delta(version, bytes(content))
+            if not chunk.content:
+                raise exceptions.PeerMalformed("empty chunk")
+
+    async def close_idle(self) -> None:
+        """Closes connections without recent calls."""
+        now_s = asyncio.get_running_loop().time()
+        for address, opened in list(self.opened.items()):
+            idle_s = now_s - max(opened.used_s, opened.retry_at_s)
+            if opened.calls or idle_s < self.limits.idle_timeout_s / 2:
+                continue
+            await self._close(opened)
+            self.opened.pop(address, None)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for opened in list(self.opened.values()):
+            await self._close(opened)
+        self.opened.clear()
+
+    async def __aenter__(self) -> "PeerClient":
+        """Returns itself."""
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Closes the client."""
+        await self.close()
+
+    async def _fetch_chunk(
+        self, address: str, since: int, version: int, offset: int
+    ) -> peers.Chunk:
+        def send(peer: Any) -> Any:
+            return peer.fetchDelta(since, version, offset)
+
+        def read(answer: Any) -> peers.Chunk:
+            return peers.Chunk(answer.version, answer.size, answer.chunk)
+
+        return await self._call(address, send, read)
+
+    async def _call(
+        self,
+        address: str,
+        send: Callable[[Any], Any],
+        read: Callable[[Any], peers.Answer],
+    ) -> peers.Answer:
+        opened = self.opened.get(address)
+        if opened is None:
+            await self._make_room()
+            opened = self.opened.setdefault(address, Opened())
+        if opened.calls >= peers.MAX_CALLS_PER_CONNECTION:
+            raise exceptions.PeerTimeout(f"{address}: too many calls wait")
+        opened.used_s = asyncio.get_running_loop().time()
+        opened.calls += 1
+        try:
+            peer = await self._connect(address, opened)
+            async with asyncio.timeout(self.limits.call_timeout_s):
+                return read(await send(peer))
+        except TimeoutError as error:
+            await self._close(opened)
+            raise exceptions.PeerTimeout(address) from error
+        except (exceptions.PeerMalformed, capnp.KjException, OSError) as error:
+            await self._close(opened)
+            if isinstance(error, exceptions.PeerError):
+                raise
+            raise exceptions.PeerUnreachable(f"{address}: {error}") from error
+        finally:
+            opened.calls -= 1
+
+    async def _connect(self, address: str, opened: Opened) -> Any:
+        async with opened.lock:
+            if opened.peer is not None:
+                return opened.peer
+            now_s = asyncio.get_running_loop().time()
+            if now_s < opened.retry_at_s:
+                raise exceptions.PeerBackoff(address)
+            try:
+                async with asyncio.timeout(self.limits.connect_timeout_s):
+                    await self._open(address, opened)
+            except BaseException:
+                self._back_off(opened)
+                await self._close(opened)
+                raise
+            opened.failures = 0
+            return opened.peer
+
+    async def _open(self, address: str, opened: Opened) -> None:
+        opened.stack = contextlib.AsyncExitStack()
+        host, port = addresses.split(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        opened.stack.callback(sock.close)
+        peers.set_socket_options(sock)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (host, port))
+        stream = await capnp.AsyncIoStream.create_connection(sock=sock)
+        opened.stack.callback(stream.close)
+        rpc = capnp.TwoPartyClient(
+            stream, traversal_limit_in_words=peers.MAX_MESSAGE_WORDS
+        )
+        opened.stack.callback(rpc.close)
+        gate = rpc.bootstrap().cast_as(codec.SCHEMA.Gate)
+        opened.peer = await self._prove(address, gate)
+
+    async def _prove(self, address: str, gate: Any) -> Any:
+        nonce = secrets.token_bytes(peers.NONCE_BYTES)
+        hello = await gate.hello(peers.PROTOCOL_VERSION, self.host, nonce)
+        if hello.protocol != peers.PROTOCOL_VERSION or (
+            hello.error == exceptions.PeerVersionMismatch.code
+        ):
+            raise exceptions.PeerVersionMismatch(
+                f"{address} speaks version {hello.protocol}, "
+                f"this host {peers.PROTOCOL_VERSION}"
+            )
+        if hello.error or len(hello.nonce) != peers.NONCE_BYTES:
+            raise exceptions.PeerMalformed(f"{address}: {hello.error}")
+        parts = (
+            nonce,
+            bytes(hello.nonce),
+            self.host.encode(),
+            hello.host.encode(),
+        )
+        expected = peers.prove(self.secret, "server", *parts)
+        if not hmac.compare_digest(bytes(hello.proof), expected):
+            raise exceptions.PeerNotProved(f"{address} has another secret")
+        answer = await gate.authenticate(
+            peers.prove(self.secret, "client", *parts)
+        )
+        if answer.error:
+            raise exceptions.PeerNotProved(f"{address}: {answer.error}")
+        return answer.peer
+
+    def _back_off(self, opened: Opened) -> None:
+        delay_s = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2**opened.failures)
+        opened.failures = min(opened.failures + 1, 16)
+        opened.retry_at_s = asyncio.get_running_loop().time() + (
+            delay_s * self.rng.uniform(0.5, 1.0)
+        )
+
+    async def _close(self, opened: Opened) -> None:
+        stack, opened.stack, opened.peer = opened.stack, None, None
+        if stack is not None:
+            await stack.aclose()
+
+    async def _make_room(self) -> None:
+        while len(self.opened) >= self.limits.max_opened:
+            idle = [
+                address
+                for address, opened in self.opened.items()
+                if not opened.calls
+            ]
+            if not idle:
+                raise exceptions.PeerTimeout("all connections are in use")
+            oldest = min(idle, key=lambda each: self.opened[each].used_s)
+            await self._close(self.opened.pop(oldest))
--- /dev/null
+++ b/src/banyanshed/edges/peer_servers.py
@@ -0,0 +1,340 @@
+"""Answers calls of peers: proof of the fleet's secret, then their messages."""
+
+import asyncio
+import contextlib
+import hmac
+import secrets
+import socket
+from typing import Any
+
+import capnp
+import eliot
+
+from banyanshed import addresses
+from banyanshed import exceptions
+from banyanshed.core import handover
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.edges import codec
+from banyanshed.edges import peers
+
+FAREWELL_S = 0.2
+MAX_CACHED_DELTAS = 2
+BACKLOG = 64
+
+
+class PeerService(codec.SCHEMA.Peer.Server):
+    """Answers the calls of a peer that proved the secret."""
+
+    def __init__(self, connection: "ServedConnection"):
+        """Takes the connection that it belongs to."""
+        super().__init__()
+        self.connection = connection
+
+    async def gossip(self, message: Any, _context: Any, **_: Any) -> None:
+        """Answers a question."""
+        with self.connection.calling() as server:
+            question = codec.read_message(message)
+            reply = server.handler.on_gossip(question)
+            codec.write_message(_context.results.init("reply"), reply)
+
+    async def fetchDelta(  # noqa: N802
+        self, since: int, version: int, offset: int, _context: Any, **_: Any
+    ) -> None:
+        """Returns one chunk of a delta."""
+        with self.connection.calling() as server:
+            delta = server.find_delta(since, version)
+            results = _context.results
+            results.version = delta.version
+            results.size = len(delta.content)
+            results.chunk = delta.content[offset : offset + peers.CHUNK_BYTES]
+
+    async def heartbeat(self, heartbeat: Any, _context: Any, **_: Any) -> None:
+        """Answers the holder of a session as its witness."""
+        with self.connection.calling() as server:
+            question = codec.read_heartbeat(heartbeat)
+            answer = server.handler.on_heartbeat(question)
+            codec.write_answer(_context.results.init("answer"), answer)
+
+    async def openHandover(self, _context: Any, **_: Any) -> None:  # noqa: N802
+        """Tells this process and its time."""
+        with self.connection.calling() as server:
+            opening = server.handler.on_open_handover()
+            _context.results.incarnation = opening.incarnation
+            _context.results.openedS = opening.opened_s
+
+    async def handOver(  # noqa: N802
+        self,
+        incarnation: str,
+        openedS: float,  # noqa: N803
+        content: bytes,
+        _context: Any,
+        **_: Any,
+    ) -> None:
+        """Takes a session over."""
+        with self.connection.calling() as server:
+            opening = handover.Opening(
+                sessions.Incarnation(incarnation), openedS
+            )
+            taken = server.handler.on_hand_over(opening, bytes(content))
+            _context.results.taken = taken
+
+
+class GateService(codec.SCHEMA.Gate.Server):
+    """Checks the proof of one connection's client, once."""
+
+    def __init__(self, connection: "ServedConnection"):
+        """Takes the connection that it belongs to."""
+        super().__init__()
+        self.connection = connection
+        self.nonces: tuple[bytes, bytes] | None = None
+        self.client = b""
+
+    async def hello(
+        self, protocol: int, host: str, nonce: bytes, _context: Any, **_: Any
+    ) -> None:
+        """Proves the secret to the client."""
+        results = _context.results
+        results.protocol = peers.PROTOCOL_VERSION
+        if protocol != peers.PROTOCOL_VERSION:
+            results.error = exceptions.PeerVersionMismatch.code
+            self.connection.refuse(
+                exceptions.PeerVersionMismatch.code, protocol=protocol
+            )
+            return
+        if self.nonces or len(nonce) != peers.NONCE_BYTES or len(host) > 128:
+            results.error = exceptions.PeerMalformed.code
+            self.connection.refuse(exceptions.PeerMalformed.code)
+            return
+        server = self.connection.server
+        own_nonce = secrets.token_bytes(peers.NONCE_BYTES)
+        self.nonces = (bytes(nonce), own_nonce)
+        self.client = host.encode()
+        results.host = server.host
+        results.nonce = own_nonce
+        results.proof = peers.prove(
+            server.secret,
+            "server",
+            *self.nonces,
+            self.client,
+            server.host.encode(),
+        )
+
+    async def authenticate(self, proof: bytes, _context: Any, **_: Any) -> None:
+        """Hands out the capability that answers calls."""
+        results = _context.results
+        server = self.connection.server
+        nonces, self.nonces = self.nonces, None
+        expected = peers.prove(
+            server.secret,
+            "client",
+            *(nonces or (b"", b"")),
+            self.client,
+            server.host.encode(),
+        )
+        if nonces is None or not hmac.compare_digest(bytes(proof), expected):
+            results.error = exceptions.PeerNotProved.code
+            self.connection.refuse(exceptions.PeerNotProved.code)
+            return
+        self.connection.proved = True
+        results.peer = PeerService(self.connection)
+
+
+class ServedConnection:
+    """One accepted connection.
+
+    Attributes:
+        server: The server that accepted it.
+        proved: The client proved the secret.
+        used_s: When the last call came, in the loop's time.
+        farewell_s: Time left to the peer to read a refusal.
+        failure: Set with the code of the fault that closes the connection.
+    """
+
+    def __init__(self, server: "PeerServer"):
+        """Starts unproved."""
+        self.server = server
+        self.proved = False
+        self.farewell_s = 0.0
+        self.used_s = asyncio.get_running_loop().time()
+        self.failure: asyncio.Future[str] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    @contextlib.contextmanager
+    def calling(self) -> Any:
+        """Counts a call as use; a malformed one closes the connection.
+
+        The text of other errors is not told to the peer.
+        """
+        self.used_s = asyncio.get_running_loop().time()
+        try:
+            yield self.server
+        except exceptions.PeerMalformed as error:
+            self.refuse(error.code, detail=str(error))
+            raise
+        except exceptions.PeerError:
+            raise
+        except Exception:
+            eliot.write_traceback()
+            raise exceptions.PeerError("internal error") from None
+
+    def refuse(self, code: str, **fields: Any) -> None:
+        """Closes the connection once the refusal has been sent."""
+        self.farewell_s = FAREWELL_S
+        self.fail(code, **fields)
+
+    def fail(self, code: str, **fields: Any) -> None:
+        """Closes the connection for a fault, once, with a line in the log."""
+        if self.failure.done():
+            return
+        self.failure.set_result(code)
+        peers.log_closed(code, **fields)
+
+    async def serve(self, stream: Any) -> None:
+        """Serves until the peer is gone, idle, too slow or at fault."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(stream.close)
+            rpc = capnp.TwoPartyServer(
+                stream,
+                bootstrap=GateService(self),
+                traversal_limit_in_words=peers.MAX_MESSAGE_WORDS,
+            )
+            stack.callback(rpc.close)
+            gone = asyncio.ensure_future(rpc.on_disconnect())
+            stack.callback(gone.cancel)
+            await self._watch(gone)
+
+    async def _watch(self, gone: "asyncio.Future[None]") -> None:
+        loop = asyncio.get_running_loop()
+        limits = self.server.limits
+        opened_s = loop.time()
+        while True:
+            deadline_s = self.used_s + limits.idle_timeout_s
+            if not self.proved:
+                deadline_s = opened_s + limits.handshake_timeout_s
+            await asyncio.wait(
+                (gone, self.failure),
+                timeout=max(0.0, deadline_s - loop.time()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if self.failure.done():
+                # A refusal under way still reaches the peer.
+                await asyncio.sleep(self.farewell_s)
+                return
+            if gone.done():
+                self.fail("peer_gone" if self.proved else "peer_foreign")
+                return
+            if not self.proved and loop.time() >= deadline_s:
+                self.fail("peer_handshake_timeout")
+                return
+            if loop.time() >= self.used_s + limits.idle_timeout_s:
+                self.fail("peer_idle")
+                return
+
+
+class PeerServer:
+    """Accepts connections of peers and answers their calls.
+
+    Attributes:
+        connections: Open connections.
+    """
+
+    def __init__(
+        self,
+        host: models.HostId,
+        secret: bytes,
+        handler: peers.PeerHandler,
+        limits: peers.PeerLimits | None = None,
+    ):
+        """Takes what answers the calls.
+
+        Args:
+            host: This host.
+            secret: The fleet secret.
+            handler: Answers the calls.
+            limits: Bounds of time and number.
+        """
+        self.host = host
+        self.secret = secret
+        self.handler = handler
+        self.limits = limits or peers.PeerLimits()
+        self.connections: dict[ServedConnection, asyncio.Task[None]] = {}
+        self.deltas: dict[tuple[int, int], peers.Delta] = {}
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(self, address: str) -> str:
+        """Listens on "IP:port" and returns the address with the true port."""
+        host, port = addresses.split(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        self._stack.callback(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        peers.set_socket_options(sock)
+        sock.bind((host, port))
+        sock.setblocking(False)
+        listener = await capnp.AsyncIoStream.create_server(
+            self._accept, sock=sock, backlog=BACKLOG
+        )
+        self._stack.callback(listener.close)
+        name, port = sock.getsockname()[:2]
+        return f"[{name}]:{port}" if ":" in name else f"{name}:{port}"
+
+    async def close(self) -> None:
+        """Stops listening and closes all connections."""
+        tasks = list(self.connections.values())
+        await self._stack.aclose()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def __aenter__(self) -> "PeerServer":
+        """Returns itself."""
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Closes the server."""
+        await self.close()
+
+    def find_delta(self, since: int, version: int) -> peers.Delta:
+        """Returns a delta; later chunks come from the one first told."""
+        if version:
+            held = self.deltas.get((since, version))
+            if held is None:
+                raise exceptions.PeerError(f"delta to {version} is gone")
+            return held
+        # Hosts that start together ask for the same rows.
+        current = self.deltas.get((since, self.handler.version()))
+        if current is not None:
+            return current
+        delta = self.handler.delta_since(since)
+        if len(delta.content) > peers.CHUNK_BYTES:
+            self.deltas[(since, delta.version)] = delta
+        while len(self.deltas) > MAX_CACHED_DELTAS:
+            del self.deltas[next(iter(self.deltas))]
+        return delta
+
+    async def _accept(self, stream: Any) -> None:
+        connection = ServedConnection(self)
+        task = asyncio.current_task()
+        assert task is not None
+        self.connections[connection] = task
+        if len(self.connections) > self.limits.max_served:
+            self._close_one()
+        try:
+            await connection.serve(stream)
+        except asyncio.CancelledError:
+            # The stream's own callback would report this as a fault.
+            return
+        finally:
+            del self.connections[connection]
+
+    def _close_one(self) -> None:
+        """Closes an unproved connection, or else the one least used."""
+        staying = [
+            connection
+            for connection in self.connections
+            if not connection.failure.done()
+        ]
+        worst = min(staying, key=lambda each: (each.proved, each.used_s))
+        worst.fail("peer_connections_full")
--- a/src/banyanshed/edges/peering.py
+++ b/src/banyanshed/edges/peering.py
@@ -16,6 +16,7 @@
 from banyanshed.core import handover
 from banyanshed.core import models
 from banyanshed.core import sessions
+from banyanshed.edges import peer_clients
 from banyanshed.edges import peers
 
 MAX_TASKS = 64
@@ -60,7 +61,7 @@
     def __init__(
         self,
         core: gossip.Gossip,
-        client: peers.PeerClient,
+        client: peer_clients.PeerClient,
         replica: Replica,
         witness: Witness,
         clock: Callable[[], float],
--- a/tests/test_attempt_processes.py
+++ b/tests/test_attempt_processes.py
@@ -13,6 +13,7 @@
 
 from banyanshed.core import backends
 from banyanshed.core import models
+from banyanshed.core import reports
 from banyanshed.core import requests
 from banyanshed.core import rows
 from banyanshed.edges import forwarding
@@ -102,7 +103,7 @@
     def probe(address):
         asked_s = time.monotonic()
         found = forwarding.probe(address, 5.0)
-        event = backends.HealthReported(
+        event = reports.HealthReported(
             "bookings", "b", found.state, found.refused, asked_s
         )
         known.handle(event, time.monotonic())
@@ -130,7 +131,7 @@
                 make_request(1), attempt.target, None, 5.0, answer_bytes=65536
             )
             known.handle(
-                backends.AttemptFinished(attempt, result), time.monotonic()
+                reports.AttemptFinished(attempt, result), time.monotonic()
             )
             # Its health endpoint says the contrary.
             server.put("/_fault", {"health": "live"})
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -8,8 +8,10 @@
 
 from banyanshed.core import backends
 from banyanshed.core import models
+from banyanshed.core import reports
 from banyanshed.core import requests
 from banyanshed.core import rows
+from banyanshed.core import subsets
 
 LIVE = models.BackendState.LIVE
 LEAVING = models.BackendState.LEAVING
@@ -42,7 +44,7 @@
 
 
 def finish(known, attempt, now_s, result=ANSWER):
-    known.handle(backends.AttemptFinished(attempt, result), now_s)
+    known.handle(reports.AttemptFinished(attempt, result), now_s)
 
 
 def occupied(known):
@@ -132,7 +134,7 @@
     def report_health(self, name, state, refused, lag_s):
         asked_s = self.now_s - lag_s
         state = None if refused else state
-        event = backends.HealthReported("board", name, state, refused, asked_s)
+        event = reports.HealthReported("board", name, state, refused, asked_s)
         self.known.handle(event, self.now_s)
         if name not in self.rows:
             return
@@ -146,13 +148,13 @@
 
     @stateful.rule(
         name=NAMES,
-        sign=st.sampled_from([backends.Sign.DRAIN, backends.Sign.HOST_LIST]),
+        sign=st.sampled_from([reports.Sign.DRAIN, reports.Sign.HOST_LIST]),
         state=st.sampled_from([LIVE, LEAVING]),
         lag_s=LAG_S,
     )
     def report_sign(self, name, sign, state, lag_s):
         order = self.now_s - lag_s
-        event = backends.SignReported("board", name, sign, state, order)
+        event = reports.SignReported("board", name, sign, state, order)
         self.known.handle(event, self.now_s)
         self.say(name, sign, state, order)
 
@@ -163,7 +165,7 @@
         lag_s=LAG_S,
     )
     def report_load(self, name, count, slots, lag_s):
-        event = backends.LoadReported(
+        event = reports.LoadReported(
             "board", name, count, slots, self.now_s - lag_s
         )
         self.known.handle(event, self.now_s)
@@ -220,15 +222,15 @@
     leaving = requests.AttemptFailure(models.Ran.NO, "backend_refused", True)
     finish(known, old[0], 2.0, leaving)
     finish(known, old[1], 3.0)
-    health = backends.HealthReported("board", "a", LIVE, False, 4.0)
+    health = reports.HealthReported("board", "a", LIVE, False, 4.0)
     known.handle(health, 4.0)
     known.configure(5.0, [row("a")], 9)
     assert choose(known, 6.0) is None
-    refused = backends.HealthReported("board", "a", None, True, 7.0)
+    refused = reports.HealthReported("board", "a", None, True, 7.0)
     known.handle(refused, 7.0)
     known.handle(health, 7.5)
     assert choose(known, 8.0) is None
-    back = backends.HealthReported("board", "a", LIVE, False, 8.5)
+    back = reports.HealthReported("board", "a", LIVE, False, 8.5)
     known.handle(back, 8.6)
     assert choose(known, 9.0) is not None
 
@@ -269,12 +271,12 @@
 def test_blame_falls_on_the_backend_server_only_for_its_own_failures():
     late = requests.AttemptFailure(models.Ran.UNKNOWN, "deadline")
     unsent = requests.AttemptFailure(models.Ran.NO, "not_sendable")
-    classify = backends.classify
-    assert classify(late, 0.2) is backends.Outcome.NEUTRAL
-    assert classify(late, 2.0) is backends.Outcome.FAILED
-    assert classify(unsent, 0.0) is backends.Outcome.NEUTRAL
-    assert classify(LOST, 0.0) is backends.Outcome.FAILED
-    assert classify(SHED, 0.0) is backends.Outcome.SHED
+    classify = reports.classify
+    assert classify(late, 0.2) is reports.Outcome.NEUTRAL
+    assert classify(late, 2.0) is reports.Outcome.FAILED
+    assert classify(unsent, 0.0) is reports.Outcome.NEUTRAL
+    assert classify(LOST, 0.0) is reports.Outcome.FAILED
+    assert classify(SHED, 0.0) is reports.Outcome.SHED
     for status, outcome in [(404, "worked"), (500, "failed"), (503, "shed")]:
         answer = requests.Answer(status, {}, b"")
         assert classify(answer, 0).value == outcome
@@ -288,8 +290,8 @@
     for host, count in units.items():
         known = make("abcdefg", host=host)
         known.set_units("board", "sask", units)
-        event = backends.SignReported(
-            "board", gone, backends.Sign.DRAIN, LEAVING, 1.0
+        event = reports.SignReported(
+            "board", gone, reports.Sign.DRAIN, LEAVING, 1.0
         )
         known.handle(event, 1.0)
         used.update(choose(known, 2.0).target.backend for _ in range(count))
@@ -304,7 +306,7 @@
         known = make(names, host=f"h{number}", slots=4)
         for name in names:
             load = 0 if name == "a" else 4
-            event = backends.LoadReported("board", name, load, 4, 10.0)
+            event = reports.LoadReported("board", name, load, 4, 10.0)
             known.handle(event, 10.0 + lag_s)
         for _ in range(2):
             got[choose(known, 10.0 + lag_s).target.backend] += 1
@@ -345,14 +347,14 @@
         known.set_hosts(hosts)
         subset = known.subset("board", "sask")
         most = known.pools["board", "sask"].plan.connections
-        assert len(subset) >= min(count, backends.MIN_SUBSET)
-        assert most >= backends.MIN_CONNECTIONS or len(subset) == count < 4
+        assert len(subset) >= min(count, subsets.MIN_SUBSET)
+        assert most >= subsets.MIN_CONNECTIONS or len(subset) == count < 4
         used.update({b.row.backend: min(most, 9) for b in subset})
         if number == 0:
             others = [b.row.backend for b in subset[1:]]
             gone = subset[0].row.backend
-            sign = backends.SignReported(
-                "board", gone, backends.Sign.DRAIN, LEAVING, 1.0
+            sign = reports.SignReported(
+                "board", gone, reports.Sign.DRAIN, LEAVING, 1.0
             )
             known.handle(sign, 1.0)
             after = [b.row.backend for b in known.subset("board", "sask")]
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -13,6 +13,8 @@
 from banyanshed.core import gossip
 from banyanshed.core import membership
 from banyanshed.core import models
+from banyanshed.edges import peer_clients
+from banyanshed.edges import peer_servers
 from banyanshed.edges import peering
 from banyanshed.edges import peers
 
@@ -44,7 +46,7 @@
 class Daemon:
     peering: peering.Peering
     replica: Replica
-    server: peers.PeerServer
+    server: peer_servers.PeerServer
     address: str
     stack: contextlib.AsyncExitStack
 
@@ -60,8 +62,8 @@
     stack = contextlib.AsyncExitStack()
     rng = random.Random(name)
     replica = Replica()
-    client = peers.PeerClient(name, SECRET, rng, LIMITS)
-    server = peers.PeerServer(name, SECRET, None, LIMITS)
+    client = peer_clients.PeerClient(name, SECRET, rng, LIMITS)
+    server = peer_servers.PeerServer(name, SECRET, None, LIMITS)
     address = await server.start("127.0.0.1:0")
     profile = models.ListedHost(
         name, "sask", "sask-a", "127.0.0.1:1", address, models.HostState.LIVE
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -19,6 +19,8 @@
 from banyanshed.core import models
 from banyanshed.core import sessions
 from banyanshed.edges import codec
+from banyanshed.edges import peer_clients
+from banyanshed.edges import peer_servers
 from banyanshed.edges import peers
 
 SECRET = b"0123456789abcdef0123456789abcdef"
@@ -81,7 +83,7 @@
 
 @dataclasses.dataclass
 class Bench:
-    server: peers.PeerServer
+    server: peer_servers.PeerServer
     handler: Handler
     address: str
     logged: list
@@ -103,14 +105,14 @@
         stack.callback(eliot.remove_destination, logged.append)
         await stack.enter_async_context(capnp.kj_loop())
         handler = Handler()
-        server = peers.PeerServer("h0", SECRET, handler, limits)
+        server = peer_servers.PeerServer("h0", SECRET, handler, limits)
         await stack.enter_async_context(server)
         address = await server.start("127.0.0.1:0")
         yield Bench(server, handler, address, logged)
 
 
 def make_client(secret=SECRET, limits=LIMITS):
-    return peers.PeerClient("h1", secret, random.Random(1), limits)
+    return peer_clients.PeerClient("h1", secret, random.Random(1), limits)
 
 
 def run(scenario):
@@ -184,7 +186,9 @@
             # The client's side of it.
             monkeypatch.setattr(peers, "PROTOCOL_VERSION", 2)
             call = client.gossip(bench.address, MESSAGE)
-            monkeypatch.setattr(peers.GateService, "hello", answer_as_version_1)
+            monkeypatch.setattr(
+                peer_servers.GateService, "hello", answer_as_version_1
+            )
             with pytest.raises(exceptions.PeerVersionMismatch):
                 await call
 
@@ -292,7 +296,7 @@
 def test_slow_handler_answer_times_out_and_the_next_call_is_its_own():
     async def scenario():
         async with open_bench() as bench, make_client() as client:
-            original = peers.PeerService.gossip
+            original = peer_servers.PeerService.gossip
 
             async def late(self, message, _context, **kwargs):
                 await asyncio.sleep(0.4)
@@ -300,7 +304,7 @@
 
             other = dataclasses.replace(MESSAGE, version=9)
             with pytest.MonkeyPatch.context() as patch:
-                patch.setattr(peers.PeerService, "gossip", late)
+                patch.setattr(peer_servers.PeerService, "gossip", late)
                 with pytest.raises(exceptions.PeerTimeout):
                     await client.gossip(bench.address, MESSAGE)
             assert await client.gossip(bench.address, other) == other
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,8 +3,8 @@
 
 import pytest
 
-from banyanshed.core import backends
 from banyanshed.core import models
+from banyanshed.core import reports
 from banyanshed.core import requests
 from banyanshed.core import retries
 from banyanshed.core import routing
@@ -64,7 +64,7 @@
             if region in full:
                 return None
             target = requests.Target("b", region, "127.0.0.1:1")
-            return backends.Attempt(service, target, 1, now_s)
+            return reports.Attempt(service, target, 1, now_s)
 
     shares = FakeShares(free, links)
     router = routing.Router("marmara", shares, Chooser())
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,6 +3,7 @@
 import pytest
 
 from banyanshed.core import models
+from banyanshed.core import planning
 from banyanshed.core import sessions
 from banyanshed.core import shares
 
@@ -46,10 +47,10 @@
         asker = shares.SessionId("d/1.1" if ends else name)
         moment = shares.Moment(now_s, now_s, closed)
         before = sum(held.values()) + (
-            shares._refilled_pool(share, moment) if share else RATE.burst
+            planning._refilled_pool(share, moment) if share else RATE.burst
         )
-        ask = shares.RateAsk(asker, "w", demand, held.get(asker, 0.0))
-        plan = shares.plan_rate(RATE, share, ask, moment)
+        ask = planning.RateAsk(asker, "w", demand, held.get(asker, 0.0))
+        plan = planning.plan_rate(RATE, share, ask, moment)
         share = plan.share
         held[asker] = held.get(asker, 0.0) + plan.tokens
         after = sum(held.values()) + share.pool_tokens
@@ -63,8 +64,8 @@
 def test_pool_refills_for_its_unheld_part_only():
     grant = shares.RateGrant(SESSION, "w", 6, 12, 1, 10, 20)
     share = shares.RateShare(RATE, 0.0, 100.0, (grant,))
-    ask = shares.RateAsk(SESSION, "x", 1000, 0.0, leaving=True)
-    plan = shares.plan_rate(RATE, share, ask, shares.Moment(101, 101, {}))
+    ask = planning.RateAsk(SESSION, "x", 1000, 0.0, leaving=True)
+    plan = planning.plan_rate(RATE, share, ask, shares.Moment(101, 101, {}))
     assert plan.share.pool_tokens == pytest.approx(4)
 
 
@@ -73,9 +74,9 @@
     share = None
     for step in range(40):
         name = shares.SessionId(f"h{step % 10}/1.1")
-        ask = shares.RateAsk(name, "w", 1 + step % 10, 0.0)
+        ask = planning.RateAsk(name, "w", 1 + step % 10, 0.0)
         moment = shares.Moment(100 + step, 100 + step, {})
-        share = shares.plan_rate(limit, share, ask, moment).share
+        share = planning.plan_rate(limit, share, ask, moment).share
     bursts = [grant.burst for grant in share.grants]
     assert sum(bursts) <= 3
     assert {burst == 0 or burst >= 1 for burst in bursts} == {True}
@@ -105,6 +106,6 @@
         shares.LimitKey("share/placement/s/r"), VERSION, 4, 100, 4, 5.0
     )
     moment = shares.Moment(104.9, 104.9, {SESSION: 100.0})
-    assert not shares.is_free(SESSION, units, moment)
+    assert not planning.is_free(SESSION, units, moment)
     moment = shares.Moment(105.1, 105.1, {SESSION: 100.0})
-    assert shares.is_free(SESSION, units, moment)
+    assert planning.is_free(SESSION, units, moment)
