Teach saturated servers only now and then

Change: steering/saturation.py averages over a second whether a server had no free slot; it replaces the time since the first look without one, which was kept for servers that were gone. A saturated server gets one in ten of the requests for objects that it does not know, unless it is nearly idle. Requests that name no object, or whose route says that servers learn nothing, were sent to the owner of their request id, waited there while other servers were free, and filled the beats with pairs; now they go to a free server of a drawn order and teach nothing.

--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -153,7 +153,7 @@
         demand = placement.Demand(
             plan.route,
             plan.service,
-            object_key(progress.request),
+            object_key(progress.request, plan.route),
             plan.homes,
             plan.priority,
             progress.tried,
@@ -341,7 +341,7 @@
             fields["route"] = plan.route.name
             fields["service"] = plan.service
             fields["customer"] = plan.customer.name if plan.customer else None
-            fields["object"] = object_key(progress.request)
+            fields["object"] = object_key(progress.request, plan.route)
             fields["attempts"] = progress.trace
             fields["config_version"] = plan.config_version
         if progress.inputs:
@@ -366,11 +366,11 @@
     )
 
 
-def object_key(request: messages.Request) -> str:
-    """Names the object of a request; requests without one spread evenly."""
+def object_key(request: messages.Request, route: models.Route) -> str | None:
+    """Names the object of a request, if servers may be faster with it."""
     key = request.find(names.OBJECT_KEY)
-    if key is None:
-        key = request.find(names.REQUEST_ID) or b""
+    if key is None or not route.affinity:
+        return None
     return key.decode("latin-1")
 
 
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -297,6 +297,7 @@
 
     def _forget_server(self, server: models.ServerId) -> None:
         self.health.forget(server)
+        self.placing.saturation.forget(server)
         self.kept.drop(server)
 
     def _take_limits(self, configuration: models.Configuration) -> None:
--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -8,6 +8,10 @@
 expected to finish in time. Another server is taught only while it has slots
 to spare. A request that no server is expected to finish in time is rejected
 at once: work that is cut off at its deadline takes slots and serves nobody.
+
+A server that stays full is taught only now and then: objects that it does not
+know would take several times the slots and displace those that it does, until
+it knows none of those asked for.
 """
 
 import collections
@@ -21,6 +25,7 @@
 from banyanshed.steering import health as health_lib
 from banyanshed.steering import locality
 from banyanshed.steering import models
+from banyanshed.steering import saturation as saturation_lib
 from banyanshed.steering import views
 from banyanshed.steering import warmth as warmth_lib
 
@@ -31,8 +36,11 @@
 TEACH_LOAD = 2.3
 # A server with more requests per slot does not learn other servers' objects.
 SPARE_LOAD = 0.5
-# Part of the requests that teach an owner while another server knows the
-# object, although the answer then comes after the objective.
+# Requests per slot up to which a server is taught although it was saturated.
+IDLE_LOAD = 0.25
+# Part of the requests that teach an owner although the answer then comes
+# after the objective: while another server knows the object, or while the
+# owner is saturated with requests for objects that it knows.
 LEARN_SHARE = 0.1
 # Servers that are compared at most for one request.
 MAX_CANDIDATES = 24
@@ -40,16 +48,17 @@
 # what each lower rank of priority gives up of it.
 FINISH_SHARE = 0.85
 PRIORITY_STEP = 0.05
-# A queue that stands for this long holds each answer back and serves nobody
-# sooner: then only requests whose answers come in so many times their
-# objective are added to it.
-STANDING_S = 0.5
+# The queue of a saturated server holds each answer back and serves nobody
+# sooner: only requests whose answers come in so many times their objective
+# are added to it.
 STANDING_OBJECTIVES = 1.75
 MIN_RETRY_AFTER_S = 0.15
 MAX_RETRY_AFTER_S = 2.0
 # From this load on, hosts tell each other of their requests more often.
 BUSY_LOAD = 0.6
 MAX_CACHED_ORDERS = 4096
+# Orders over which requests without an object are spread.
+SPREAD_ORDERS = 256
 _HASH_SPACE = float(1 << 64)
 
 
@@ -75,7 +84,8 @@
     Attributes:
         route: Its route.
         service: Service that must run it.
-        object_key: Names the object; equal keys share an owner.
+        object_key: Names the object; equal keys share an owner. None when
+            no server is faster with the request than another.
         homes: Regions that may serve; empty for all.
         priority: Rank of the request; 0 is the most urgent.
         tried: Servers that it was sent to before.
@@ -84,7 +94,7 @@
 
     route: models.Route
     service: models.ServiceName
-    object_key: str
+    object_key: str | None
     homes: Collection[models.RegionName]
     priority: int
     tried: Collection[models.ServerId]
@@ -98,13 +108,13 @@
     Attributes:
         server: The server.
         pair: The server and the request's object, as told to peers.
-        warm: The server knows the object.
+        warm: The server knows the object, or there is none to know.
         load: Requests of all hosts at the server, per slot.
         finish_s: Expected time to the answer.
     """
 
     server: views.Server
-    pair: int
+    pair: int | None
     warm: bool
     load: float
     finish_s: float
@@ -137,8 +147,7 @@
         self.peer_work: dict[models.HostId, dict[models.ServerId, int]] = {}
         self.work_of_peers: dict[models.ServerId, int] = {}
         self.was_busy = False
-        # Since when servers have had no free slot, as far as was seen.
-        self.full_since: dict[models.ServerId, float] = {}
+        self.saturation = saturation_lib.Saturation()
         self.orders: dict[
             tuple[models.ServiceName, str], list[views.Server]
         ] = {}
@@ -200,24 +209,33 @@
     ) -> bool:
         """Whether a request should go to a server, behind those it queues."""
         server = choice.server.registration.id
-        if choice.load < OWNER_LOAD:
+        full = choice.load >= OWNER_LOAD
+        self.saturation.note(server, full, now)
+        saturated = self.saturation.is_saturated(server)
+        if saturated and not self._may_learn_when_saturated(choice):
+            return False
+        if not full:
             # With a free slot a request can't be served any sooner later.
-            self.full_since.pop(server, None)
             return True
         if choice.finish_s > limit_s:
             return False
-        full_s = now - self.full_since.setdefault(server, now)
-        if full_s < STANDING_S:
+        if not saturated:
             return True
         return choice.finish_s <= STANDING_OBJECTIVES * demand.route.objective_s
 
+    def _may_learn_when_saturated(self, choice: Choice) -> bool:
+        """Whether a saturated server gets a request all the same."""
+        if choice.warm or choice.load <= IDLE_LOAD:
+            return True
+        return self.random() < LEARN_SHARE
+
     def _find_candidates(
         self, demand: Demand, now: float
     ) -> tuple[list[Choice], list[views.Server]]:
         """Returns the usable servers in the object's order, and cold ones."""
         candidates: list[Choice] = []
         cold_servers = []
-        for server in self._order(demand.service, demand.object_key):
+        for server in self._order_for(demand):
             if len(candidates) >= MAX_CANDIDATES:
                 break
             if not self._may_serve(server, demand, now):
@@ -235,7 +253,7 @@
         """Returns every server that may take a request, in its order."""
         return [
             self._rate(demand, server, now)
-            for server in self._order(demand.service, demand.object_key)
+            for server in self._order_for(demand)
             if self._may_serve(server, demand, now)
         ]
 
@@ -269,10 +287,12 @@
     def _rate(self, demand: Demand, server: views.Server, now: float) -> Choice:
         """Returns what to expect of a server."""
         entry = server.registration
-        pair = warmth_lib.hash_pair(
-            demand.route.name, demand.object_key, entry.id
-        )
-        warm = self.warmth.is_warm(pair, now)
+        pair, warm = None, True
+        if demand.object_key is not None:
+            pair = warmth_lib.hash_pair(
+                demand.route.name, demand.object_key, entry.id
+            )
+            warm = self.warmth.is_warm(pair, now)
         load = self.load_of(server)
         slots = max(1, entry.slots)
         ahead = max(0.0, load * slots - slots + 1.0)
@@ -322,6 +342,13 @@
             zone: weights.get(region, 1.0) for zone, region in zones.items()
         }
 
+    def _order_for(self, demand: Demand) -> list[views.Server]:
+        """Returns the servers for a request, in the order to try them."""
+        key = demand.object_key
+        if key is None:
+            key = str(int(self.random() * SPREAD_ORDERS))
+        return self._order(demand.service, key)
+
     def _order(
         self, service: models.ServiceName, object_key: str
     ) -> list[views.Server]:
--- a/src/banyanshed/steering/warmth.py
+++ b/src/banyanshed/steering/warmth.py
@@ -81,7 +81,7 @@
     def note_answer(
         self,
         route: models.Route,
-        pair: int,
+        pair: int | None,
         unqueued: bool,
         latency_s: float,
         now: float,
@@ -90,7 +90,8 @@
 
         Args:
             route: Route of the request.
-            pair: The server and object, from `hash_pair`.
+            pair: The server and object, from `hash_pair`; None when the
+                request had no object.
             unqueued: The server had a free slot when it was chosen.
             latency_s: Time from the choice to the answer.
             now: Current time.
@@ -98,6 +99,10 @@
         times = self._times_of(route)
         if unqueued:
             times.recent_s += RECENT_WEIGHT * (latency_s - times.recent_s)
+        if pair is None:
+            if unqueued:
+                times.warm_s += ESTIMATE_WEIGHT * (latency_s - times.warm_s)
+            return
         if not self.is_warm(pair, now):
             if unqueued:
                 times.cold_s += ESTIMATE_WEIGHT * (latency_s - times.cold_s)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -542,3 +542,16 @@
         await fleet.await_true(lambda: host.retries.limits.extra == 70.0)
 
     gateway_fleet.play(scenario)
+
+
+def test_a_route_without_objects_uses_servers_that_are_free():
+    routes = [gateway_fleet.route(affinity=False)]
+
+    async def scenario(fleet):
+        busy = fleet.servers["i1"]
+        fleet.hosts["h1"].placing.set_peer_work("p", {busy.id: 4})
+        for _ in range(8):
+            assert (await fleet.call()).status == 200
+        assert len(fleet.servers["i2"].exchanges) == 8
+
+    gateway_fleet.play(scenario, config=gateway_fleet.configuration(1, routes))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -69,3 +69,15 @@
         model.schedule(7.0, request)
     model.play()
     assert model.share(model.refused, 7, 8) <= 0.02
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_servers_that_know_some_objects_go_on_serving_these(seed):
+    # Two servers know 50 of 72 objects. If each request that they get taught
+    # them another, they would soon know none of those that are asked for.
+    model = play(
+        seed, servers=2, keeps=25, objects=72, rate=24.0, length_s=30.0
+    )
+    reachable = 50 / 72
+    assert model.share(model.in_time, 8, 29) >= 0.5 * reachable
+    assert model.share(model.cut, 8, 29) <= 0.05
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,4 +1,5 @@
 import collections
+import itertools
 
 from banyanshed.steering import health
 from banyanshed.steering import models
@@ -279,3 +280,69 @@
         within = [at for at in sent if start / 100 <= at < start / 100 + 1]
         assert len(within) <= 1.5 * service.cold_rate + 5
     assert sent
+
+
+def saturate(placing, server, until):
+    """Lets the host see a server without a free slot for a second."""
+    for step in range(41):
+        placing.saturation.note(server, True, until - 1.0 + step / 40)
+
+
+def test_a_saturated_server_is_taught_only_now_and_then():
+    placing = cases.make_placement(cases.make_view(1))
+    warm_up(placing, "i0", "known", now=4.9)
+    placing.set_peer_work("p", {"i0": 3})
+    saturate(placing, "i0", 5.0)
+    assert owner_of(placing, "known", now=5.0) == "i0"
+    rejection = choose(placing, "other", now=5.0)
+    assert rejection.reason == "overloaded"
+    placing.random = lambda: 0.01
+    assert owner_of(placing, "other", now=5.0) == "i0"
+
+
+def test_an_idle_server_is_taught_although_it_was_saturated():
+    placing = cases.make_placement(cases.make_view(1))
+    placing.set_peer_work("p", {"i0": 1})
+    saturate(placing, "i0", 5.0)
+    assert owner_of(placing, "other", now=5.0) == "i0"
+
+
+def test_a_burst_teaches_a_server_as_long_as_it_is_not_saturated():
+    placing = cases.make_placement(cases.make_view(1))
+    placing.set_peer_work("p", {"i0": 4})
+    for step in range(4):
+        now = 5.0 + step / 40
+        assert owner_of(placing, str(step), now=now, left_s=3.0) == "i0"
+
+
+def spread(placing, count=800):
+    """Returns how many requests without an object each server gets."""
+    numbers = itertools.count()
+    placing.random = lambda: (next(numbers) * 0.618) % 1.0
+    return collections.Counter(
+        owner_of(placing, key=None, left_s=3.0) for _ in range(count)
+    )
+
+
+def test_requests_without_an_object_are_spread_over_the_regions_servers():
+    placing = cases.make_placement(cases.make_view())
+    counts = spread(placing)
+    near = [counts[f"i{number}"] for number in (0, 1, 4, 5)]
+    assert min(near) >= 0.5 * sum(near) / 4
+
+
+def test_requests_without_an_object_go_where_a_slot_is_free():
+    placing = cases.make_placement(cases.make_view())
+    busy = dict.fromkeys(placing.view.servers, 4)
+    busy["i5"] = 1
+    placing.set_peer_work("p", busy)
+    assert spread(placing, 50) == {"i5": 50}
+
+
+def test_requests_without_an_object_teach_nothing():
+    placing = cases.make_placement(cases.make_view())
+    placing.warmth.note_answer(cases.ROUTE, None, True, 0.1, 1.0)
+    assert placing.warmth.take_untold(warmth.Audience.ALL) == []
+    expected_s = placing.warmth.work_s(cases.ROUTE, True)
+    placing.warmth.note_answer(cases.ROUTE, None, True, 0.1, 2.0)
+    assert 0.1 < placing.warmth.work_s(cases.ROUTE, True) < expected_s
