Move the spending of shares out of the module that keeps them

Only moves; hurry() and index() are public, as both modules use them. Tests: all tests without processes pass.

--- a/src/banyanshed/core/handover.py
+++ b/src/banyanshed/core/handover.py
@@ -241,7 +241,7 @@
             )
         self.next_s = now_s
         self.adopting = False
-        self._index()
+        self.index()
         self._update_validity()
 
     adopting = True
--- a/src/banyanshed/core/leases.py
+++ b/src/banyanshed/core/leases.py
@@ -12,12 +12,12 @@
 import random
 from typing import Any
 
-from banyanshed.core import admissions
 from banyanshed.core import holdings
 from banyanshed.core import models
 from banyanshed.core import planning
 from banyanshed.core import sessions
 from banyanshed.core import shares
+from banyanshed.core import spending
 from banyanshed.core import witnessing
 
 QUIET_READ_S = 2.0
@@ -29,7 +29,6 @@
 # Lease of a session without a witness: nobody can close it early, so that
 # what it holds stays lost until its end when the host dies at once.
 UNWITNESSED_LEASE_S = 15.0
-DEFAULT_RETRY_AFTER_S = 1.0
 UNIT_RETRY_AFTER_S = 0.2
 SESSION_READ_S = 5.0
 
@@ -76,7 +75,7 @@
     closes: tuple[shares.SessionId, ...] = ()
 
 
-class ShareHolder:
+class ShareHolder(spending.Spending):
     """The shares of one host."""
 
     def __init__(
@@ -94,6 +93,7 @@
             rng: Source of the jitter of its requests.
             lease_s: Length of the session's lease.
         """
+        super().__init__()
         self.host = host
         self.incarnation = incarnation
         self.rng = rng
@@ -101,8 +101,6 @@
         self.clock = sessions.StoreClock()
         self.witness = sessions.Witness(host, incarnation)
         self.phase = Phase.HOLDING
-        self.held: dict[shares.LimitKey, holdings.Held] = {}
-        self.retiring: set[shares.LimitKey] = set()
         self.rows: dict[str, models.TableRow] = {}
         self.parsed: dict[shares.LimitKey, tuple[models.TableRow, Any]] = {}
         self.peers: tuple[models.HostId, ...] = ()
@@ -137,7 +135,7 @@
             ):
                 empty.meter = held.meter
             self.held[key] = empty
-        self._index()
+        self.index()
 
     # Configuration and peers.
 
@@ -157,25 +155,9 @@
         self.retiring = set(self.held) - set(wanted)
         for key in returned & set(wanted):
             self.held[key].uncertain.setdefault("", 0.0)
-        self._index()
+        self.index()
         self.next_s = min(self.next_s, 0.0)
 
-    def _index(self) -> None:
-        """Makes the maps of the holdings that may be spent."""
-        self.tenants: dict[str, holdings.HeldRate] = {}
-        self.links: dict[tuple[str, ...], holdings.HeldRate] = {}
-        self.placements: dict[tuple[str, ...], holdings.HeldUnits] = {}
-        for key, held in self.held.items():
-            if key in self.retiring:
-                continue
-            _, kind, *names = key.split("/")
-            if isinstance(held, holdings.HeldUnits):
-                self.placements[tuple(names)] = held
-            elif kind == "tenant":
-                self.tenants[names[0]] = held
-            else:
-                self.links[tuple(names)] = held
-
     def set_peers(self, peers: Sequence[models.HostId]) -> None:
         """Sets the live hosts that may be this host's witness."""
         self.peers = tuple(host for host in peers if host != self.host)
@@ -192,150 +174,6 @@
             due_s = min(due_s, holder.next_s)
         return due_s
 
-    # Admission.
-
-    def admit(
-        self, now_s: float, tenant: models.TenantId, cost: float = 1.0
-    ) -> admissions.Admission:
-        """Returns whether a tenant's request is within its rate."""
-        held = self.tenants.get(tenant)
-        if held is None:
-            return admissions.Admission(False, DEFAULT_RETRY_AFTER_S)
-        held.meter.count += cost
-        if now_s < self.valid_until_s and held.bucket.take(now_s, cost):
-            return admissions.ADMITTED
-        if held.refused == 0:
-            self._hurry(now_s)
-        held.refused += cost
-        for holder in self.adopted:
-            if holder.admit(now_s, tenant, cost).admitted:
-                return admissions.ADMITTED
-        wait_s = held.bucket.wait_s(cost)
-        if wait_s is None or now_s >= self.valid_until_s:
-            wait_s = DEFAULT_RETRY_AFTER_S
-        return admissions.Admission(False, max(wait_s, 0.001))
-
-    def acquire(
-        self,
-        now_s: float,
-        service: models.ServiceId,
-        region: models.RegionId,
-    ) -> admissions.Unit | None:
-        """Returns a unit of a placement, or None when none is free here."""
-        held = self.placements.get((service, region))
-        if held is None:
-            return None
-        in_use = held.in_use
-        held.meter.count += 1
-        if now_s < self.valid_until_s and in_use < held.target:
-            held.in_use = in_use + 1
-            if in_use >= held.peak.current:
-                held.peak.current = in_use + 1
-            return admissions.Unit(held.limit.key, self.session, now_s)
-        if held.refused == 0:
-            self._hurry(now_s)
-        held.refused += 1
-        for holder in self.adopted:
-            unit = holder.acquire(now_s, service, region)
-            if unit is not None:
-                return unit
-        return None
-
-    def free_units(
-        self,
-        now_s: float,
-        service: models.ServiceId,
-        region: models.RegionId,
-    ) -> int:
-        """Returns the units of a placement that are free on this host."""
-        adopted = sum(
-            holder.free_units(now_s, service, region) for holder in self.adopted
-        )
-        held = self.placements.get((service, region))
-        if held is None or now_s >= self.valid_until_s:
-            return adopted
-        return max(0, held.target - held.in_use) + adopted
-
-    def release(self, now_s: float, unit: admissions.Unit) -> None:
-        """Takes a unit back when its request has ended."""
-        if unit.session != self.session:
-            for holder in self.adopted:
-                holder.release(now_s, unit)
-            return
-        held = self.held.get(unit.key)
-        if not isinstance(held, holdings.HeldUnits):
-            return
-        held.in_use = max(0, held.in_use - 1)
-        held.lasting_s += 0.05 * (now_s - unit.at_s - held.lasting_s)
-        if held.units > held.target and held.in_use >= held.target:
-            self._hurry(now_s)
-
-    def reserve_bytes(
-        self,
-        now_s: float,
-        source: models.RegionId,
-        target: models.RegionId,
-        size: float,
-    ) -> admissions.Reservation | None:
-        """Sets bytes of a link aside; None when too few are left."""
-        held = self.links.get((source, target))
-        if held is None:
-            return None
-        held.meter.count += size
-        if now_s < self.valid_until_s and held.bucket.reserve(now_s, size):
-            return admissions.Reservation(held.limit.key, self.session, size)
-        if held.refused == 0:
-            self._hurry(now_s)
-        held.refused += size
-        for holder in self.adopted:
-            reservation = holder.reserve_bytes(now_s, source, target, size)
-            if reservation is not None:
-                return reservation
-        return None
-
-    def settle_bytes(
-        self, now_s: float, reservation: admissions.Reservation, used: float
-    ) -> None:
-        """Ends a reservation; bytes that were not sent are put back."""
-        if reservation.session != self.session:
-            for holder in self.adopted:
-                holder.settle_bytes(now_s, reservation, used)
-            return
-        held = self.held.get(reservation.key)
-        if not isinstance(held, holdings.HeldRate):
-            return
-        held.meter.count -= max(0.0, reservation.size - used)
-        held.bucket.settle(now_s, reservation.size, used)
-
-    def valid(
-        self,
-        now_s: float,
-        held: admissions.Unit | admissions.Reservation | None = None,
-    ) -> bool:
-        """Returns whether shares may be spent; checked right before sending.
-
-        Args:
-            now_s: Monotonic time.
-            held: What the request was given; it must be of this session.
-        """
-        own = held is None or held.session == self.session
-        if own and now_s < self.valid_until_s:
-            return True
-        return any(holder.valid(now_s, held) for holder in self.adopted)
-
-    def usable_until_s(self, now_s: float) -> float:
-        """Returns until when what was just given surely may be used.
-
-        That is the earliest end of the sessions that may be spent now.
-        """
-        until_s = self.valid_until_s
-        for holder in self.adopted:
-            if now_s >= holder.valid_until_s:
-                continue
-            if now_s >= until_s or holder.valid_until_s < until_s:
-                until_s = holder.valid_until_s
-        return until_s
-
     def retry_after_s(self) -> float:
         """Returns when to come back after `acquire` returned None."""
         return UNIT_RETRY_AFTER_S
@@ -353,7 +191,7 @@
 
     # Exchange with the table service.
 
-    def _hurry(self, now_s: float) -> None:
+    def hurry(self, now_s: float) -> None:
         """Brings the next read forward, unless the store is failing."""
         if self.failures:
             return
@@ -483,7 +321,7 @@
         if key in self.retiring:
             self.retiring.remove(key)
             del self.held[key]
-            self._index()
+            self.index()
 
     def _plan_keys(self) -> Sequence[shares.LimitKey]:
         """Returns the limits to plan; fewer after repeated conflicts."""
@@ -793,7 +631,7 @@
         if news is witnessing.News.SESSION_ENDED:
             self._open_session()
         if news is not witnessing.News.NONE:
-            self._hurry(now_s)
+            self.hurry(now_s)
         self._update_validity()
 
     def on_heartbeat(
