--- /dev/null
+++ b/src/banyanshed/core/entrance.py
@@ -0,0 +1,127 @@
+"""Whether a host admits a request: its service, key and tenant's rate.
+
+No input or output.
+"""
+
+from banyanshed import settings as settings_module
+from banyanshed.core import configuration
+from banyanshed.core import events
+from banyanshed.core import freshness
+from banyanshed.core import leases
+from banyanshed.core import models
+from banyanshed.core import problems
+from banyanshed.core import requests
+from banyanshed.core import rows
+
+STALE_RETRY_S = 2.0
+NO_SHARE_RETRY_S = 1.0
+NO_SHARE_CODE = "no_share"
+LEAVING_RETRY_S = 0.5
+
+
+class Entrance:
+    """What every request passes before it is placed.
+
+    Attributes:
+        closed: The host is leaving and admits nothing more.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        config: configuration.Configuration,
+        shares: leases.ShareHolder,
+        fresh: freshness.Freshness,
+    ):
+        """Takes the parts that decide with it."""
+        self.settings = settings
+        self.config = config
+        self.shares = shares
+        self.freshness = fresh
+        self.closed = False
+
+    def admit(
+        self, event: events.RequestArrived, now_s: float
+    ) -> events.Admitted | models.Refusal:
+        """Admits a request and charges its tenant, or returns the refusal."""
+        request = event.request
+        service = self.config.services.get(request.service)
+        if service is None:
+            return problems.refuse(
+                404, "no_such_service", "There is no such service."
+            )
+        if self.closed:
+            return problems.refuse(
+                503,
+                "leaving",
+                "This host is leaving; look up another.",
+                LEAVING_RETRY_S,
+            )
+        tenant = self.authenticate(service, request, now_s)
+        if isinstance(tenant, models.Refusal):
+            return tenant
+        refusal = self.charge(tenant, now_s)
+        if refusal is not None:
+            return refusal
+        longest_s = min(request.deadline_s, service.deadline_s)
+        return events.Admitted(
+            request.request_id,
+            tenant,
+            min(service.answer_bytes, self.settings.answer_limit_bytes),
+            event.arrived_s + longest_s,
+        )
+
+    def authenticate(
+        self,
+        service: rows.ServiceRow,
+        request: requests.CallerRequest,
+        now_s: float,
+    ) -> models.TenantId | None | models.Refusal:
+        """Returns the tenant of the key; None on routes open to all."""
+        if request.key_digest is None:
+            if service.open_to_all:
+                return None
+            return problems.refuse(
+                401, "no_key", "Send a key as Authorization: Bearer KEY."
+            )
+        if not self.freshness.keys_usable(now_s):
+            return problems.refuse(
+                503,
+                "stale_keys",
+                "This host can't tell which keys are withdrawn; try another.",
+                STALE_RETRY_S,
+            )
+        key = self.config.keys.get(request.key_digest)
+        if key is None:
+            return problems.refuse(401, "bad_key", "The key is not valid.")
+        return models.TenantId(key.tenant)
+
+    def charge(
+        self, tenant: models.TenantId | None, now_s: float
+    ) -> models.Refusal | None:
+        """Takes a token of the tenant's rate, or returns the refusal."""
+        if tenant is None:
+            return None
+        admission = self.shares.admit(now_s, tenant)
+        if admission.admitted:
+            return None
+        if not self.has_share(tenant, now_s):
+            return problems.refuse(
+                503,
+                NO_SHARE_CODE,
+                "This host holds no share of the limits now; try another.",
+                NO_SHARE_RETRY_S,
+            )
+        return problems.refuse(
+            429,
+            "rate_limited",
+            "The tenant's rate and burst are used up.",
+            admission.retry_after_s,
+        )
+
+    def has_share(self, tenant: models.TenantId, now_s: float) -> bool:
+        """Whether this host may admit any of the tenant's requests."""
+        held = self.shares.tenants.get(tenant)
+        if held is None or held.bucket.burst < 1:
+            return False
+        return self.shares.valid(now_s)
--- a/src/banyanshed/core/traffic.py
+++ b/src/banyanshed/core/traffic.py
@@ -15,12 +15,12 @@
 from banyanshed.core import admissions
 from banyanshed.core import backends
 from banyanshed.core import configuration
+from banyanshed.core import entrance
 from banyanshed.core import events
 from banyanshed.core import freshness
 from banyanshed.core import leases
 from banyanshed.core import models
 from banyanshed.core import probes
-from banyanshed.core import problems
 from banyanshed.core import reports
 from banyanshed.core import requests
 from banyanshed.core import retries
@@ -32,13 +32,9 @@
 HEAD_BYTES = 512
 """Allowance for the start line and the headers that a host adds."""
 
-STALE_RETRY_S = 2.0
-NO_SHARE_RETRY_S = 1.0
-NO_SHARE_CODE = "no_share"
 SHARE_WAIT_S = 0.5
 MAX_UNSHARED = 64
 NO_DIGEST = models.KeyDigest("")
-LEAVING_RETRY_S = 0.5
 
 Placement = routing.Placement[admissions.Unit, admissions.Reservation]
 
@@ -95,12 +91,10 @@
         rng: random.Random,
     ):
         """Takes the parts that decide with it."""
-        self.settings = settings
         self.config = config
         self.shares = shares
-        self.freshness = fresh
         self.rng = rng
-        self.closed = False
+        self.entrance = entrance.Entrance(settings, config, shares, fresh)
         self.serving: dict[str, Serving] = {}
         self.backends = backends.Backends(settings.host_id(), rng)
         self.router: routing.Router[admissions.Unit, admissions.Reservation] = (
@@ -131,7 +125,7 @@
 
     def close(self) -> None:
         """Refuses further requests; those at work go on."""
-        self.closed = True
+        self.entrance.closed = True
 
     def on_config(self, now_s: float, drained: frozenset[str]) -> None:
         """Takes a new configuration.
@@ -199,7 +193,7 @@
 
     @handle.register
     def _on_arrived(self, event: events.RequestArrived, now_s: float) -> None:
-        admitted = self._admit(event, now_s)
+        admitted = self.entrance.admit(event, now_s)
         if isinstance(admitted, models.Refusal):
             if not self._wait_for_share(event, admitted, now_s):
                 event.reply(admitted)
@@ -222,89 +216,6 @@
         serving_now.reply = event.reply
         self._place_or_wait(serving_now, now_s)
 
-    def _admit(
-        self, event: events.RequestArrived, now_s: float
-    ) -> events.Admitted | models.Refusal:
-        request = event.request
-        service = self.config.services.get(request.service)
-        if service is None:
-            return problems.refuse(
-                404, "no_such_service", "There is no such service."
-            )
-        if self.closed:
-            return problems.refuse(
-                503,
-                "leaving",
-                "This host is leaving; look up another.",
-                LEAVING_RETRY_S,
-            )
-        tenant = self._authenticate(service, request, now_s)
-        if isinstance(tenant, models.Refusal):
-            return tenant
-        refusal = self._charge(tenant, now_s)
-        if refusal is not None:
-            return refusal
-        longest_s = min(request.deadline_s, service.deadline_s)
-        return events.Admitted(
-            request.request_id,
-            tenant,
-            min(service.answer_bytes, self.settings.answer_limit_bytes),
-            event.arrived_s + longest_s,
-        )
-
-    def _authenticate(
-        self,
-        service: rows.ServiceRow,
-        request: requests.CallerRequest,
-        now_s: float,
-    ) -> models.TenantId | None | models.Refusal:
-        """Returns the tenant of the key; None on routes open to all."""
-        if request.key_digest is None:
-            if service.open_to_all:
-                return None
-            return problems.refuse(
-                401, "no_key", "Send a key as Authorization: Bearer KEY."
-            )
-        if not self.freshness.keys_usable(now_s):
-            return problems.refuse(
-                503,
-                "stale_keys",
-                "This host can't tell which keys are withdrawn; try another.",
-                STALE_RETRY_S,
-            )
-        key = self.config.keys.get(request.key_digest)
-        if key is None:
-            return problems.refuse(401, "bad_key", "The key is not valid.")
-        return models.TenantId(key.tenant)
-
-    def _charge(
-        self, tenant: models.TenantId | None, now_s: float
-    ) -> models.Refusal | None:
-        if tenant is None:
-            return None
-        admission = self.shares.admit(now_s, tenant)
-        if admission.admitted:
-            return None
-        if not self._has_share(tenant, now_s):
-            return problems.refuse(
-                503,
-                NO_SHARE_CODE,
-                "This host holds no share of the limits now; try another.",
-                NO_SHARE_RETRY_S,
-            )
-        return problems.refuse(
-            429,
-            "rate_limited",
-            "The tenant's rate and burst are used up.",
-            admission.retry_after_s,
-        )
-
-    def _has_share(self, tenant: models.TenantId, now_s: float) -> bool:
-        held = self.shares.tenants.get(tenant)
-        if held is None or held.bucket.burst < 1:
-            return False
-        return self.shares.valid(now_s)
-
     def _wait_for_share(
         self,
         event: events.RequestArrived,
@@ -312,7 +223,7 @@
         now_s: float,
     ) -> bool:
         """Lets a request wait for a share that this host has just asked for."""
-        if refusal.code != NO_SHARE_CODE:
+        if refusal.code != entrance.NO_SHARE_CODE:
             return False
         key = self.config.keys.get(event.request.key_digest or NO_DIGEST)
         if key is None or len(self.unshared) >= MAX_UNSHARED:
@@ -326,11 +237,11 @@
         """Admits or refuses requests that waited for a share."""
         waiting_still = []
         for unshared in self.unshared:
-            shared = self._has_share(unshared.tenant, now_s)
+            shared = self.entrance.has_share(unshared.tenant, now_s)
             if not shared and now_s < unshared.give_up_s:
                 waiting_still.append(unshared)
                 continue
-            admitted = self._admit(unshared.event, now_s)
+            admitted = self.entrance.admit(unshared.event, now_s)
             if isinstance(admitted, models.Refusal):
                 unshared.event.reply(admitted)
                 continue
@@ -470,7 +381,7 @@
 
     def _admit_again(self, serving_now: Serving, now_s: float) -> None:
         """Charges a request anew whose lease lapsed before it was sent."""
-        refusal = self._charge(serving_now.admitted.tenant, now_s)
+        refusal = self.entrance.charge(serving_now.admitted.tenant, now_s)
         if refusal is not None:
             self._refuse(serving_now, refusal)
             return
@@ -480,7 +391,7 @@
         self, serving_now: Serving, now_s: float
     ) -> models.Refusal | None:
         """Returns the refusal of a request whose key was withdrawn since."""
-        tenant = self._authenticate(
+        tenant = self.entrance.authenticate(
             serving_now.service, serving_now.request, now_s
         )
         return tenant if isinstance(tenant, models.Refusal) else None
@@ -544,7 +455,7 @@
     def state(self, now_s: float) -> dict[str, Any]:
         """Returns the state as JSON data."""
         return {
-            "closed": self.closed,
+            "closed": self.entrance.closed,
             "in_flight": self.in_flight,
             "waiting": len(self.queue),
             "retries": self.retried,
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -12,6 +12,7 @@
 from banyanshed.gateway import messages
 from banyanshed.platform import settings as settings_lib
 from banyanshed.steering import budgets
+from banyanshed.steering import placement
 from standins import servers as servers_lib
 from standins import store as store_lib
 
@@ -194,6 +195,31 @@
             connection.abort()
 
 
+def pause(seconds):
+    async def act(exchange):
+        await asyncio.sleep(seconds)
+        exchange.answer()
+
+    return act
+
+
+def all_exchanges(fleet):
+    found = []
+    for server in fleet.servers.values():
+        found.extend(server.exchanges)
+    return found
+
+
+def owner(fleet, path="/r/x"):
+    """Returns the server that gets the next request for the object."""
+    host = fleet.hosts["h1"]
+    name = path.split("/")[1]
+    route = host.view.configuration.find_route("h.example", f"/{name}/")
+    demand = placement.Demand(route, "s", "o", (), 0, (), 2.0)
+    choice = host.placing.choose(demand, host.loop.time())
+    return fleet.servers[choice.server.registration.id]
+
+
 def host_ip(number):
     return f"{NETWORK}.1.{number}"
 
