Let the experiment tool play an earlier version's steering

Cause: variants could only differ by constants, so that a change of a decision could not be compared with what it replaced. Ruled out: running the earlier version's whole tool (its model and its formats differ with it); worker processes that swap the package (the command imports this version's before they start). Change: a variant may name the folder of another version; its steering is played by this version's model in a process of its own (lab/earlier.py). Tests: another version that decides alike plays alike, one with other constants does not, one that is not there is a finding.

--- a/src/banyanshed/lab/experiments.py
+++ b/src/banyanshed/lab/experiments.py
@@ -5,9 +5,11 @@
 import dataclasses
 import pathlib
 import statistics
+from typing import Any
 
 from matplotlib import figure
 
+from banyanshed.lab import earlier
 from banyanshed.lab import model as model_lib
 from banyanshed.lab import policies
 from banyanshed.lab import scenarios
@@ -93,19 +95,47 @@
 
     Returns:
         One summary a variant, in the scenario's order.
+
+    Raises:
+        exceptions.InvalidSettings: A constant of a variant is unknown, or
+            its version can't be played.
     """
     summaries = []
-    with futures.ProcessPoolExecutor(processes) as pool:
-        for variant in scenario.variants:
-            plays = [
-                pool.submit(play, scenario, variant, seed)
-                for seed in range(1, seeds + 1)
-            ]
-            results = tuple(one.result() for one in plays)
-            summaries.append(Summary(variant.name, results))
+    for variant in scenario.variants:
+        if variant.version is None:
+            results = play_seeds(scenario, variant, seeds, processes)
+        else:
+            played = earlier.play_all(scenario, variant, seeds, processes)
+            results = tuple(_decode(fields) for fields in played)
+        summaries.append(Summary(variant.name, results))
     return summaries
 
 
+def play_seeds(
+    scenario: scenarios.Scenario,
+    variant: scenarios.Variant,
+    seeds: int,
+    processes: int,
+) -> tuple[Result, ...]:
+    """Plays one variant, one result a seed."""
+    with futures.ProcessPoolExecutor(processes) as pool:
+        plays = [
+            pool.submit(play, scenario, variant, seed)
+            for seed in range(1, seeds + 1)
+        ]
+        return tuple(one.result() for one in plays)
+
+
+def encode(result: Result) -> dict[str, Any]:
+    """Returns a result as JSON data."""
+    return dataclasses.asdict(result)
+
+
+def _decode(fields: dict[str, Any]) -> Result:
+    by_second = tuple(fields.pop("by_second"))
+    return Result(**fields, by_second=by_second)
+
+
 def format_table(summaries: Sequence[Summary]) -> str:
     """Returns the summaries as a table for people."""
     rows: list[tuple[str, ...]] = [COLUMNS]
--- a/src/banyanshed/lab/scenarios.py
+++ b/src/banyanshed/lab/scenarios.py
@@ -37,10 +37,13 @@
         name: Shown in the table.
         policy: How hosts choose.
         constants: Values by "module.NAME", of modules of the steering.
+        version: Folder of another version, such as a checkout of an earlier
+            commit, whose steering decides; this version's if none.
     """
 
     name: str
     policy: Policy
+    version: str | None = None
     constants: dict[str, float] = {}
 
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,8 +1,10 @@
 import pathlib
+import shutil
 
 import pytest
 
 from banyanshed import exceptions
+from banyanshed import steering
 from banyanshed.lab import __main__ as lab
 from banyanshed.lab import experiments
 from banyanshed.lab import policies
@@ -95,3 +97,48 @@
     path.write_text("name: bad\nhosts: none\n")
     assert lab.main(["lab", str(path)]) == lab.EXIT_FAILED
     assert "line 2, field hosts" in capsys.readouterr().err
+
+
+def copy_version(folder, **replacements):
+    """Makes another version whose steering differs in some text."""
+    package = folder / "src" / "banyanshed" / "steering"
+    shutil.copytree(pathlib.Path(steering.__file__).parent, package)
+    path = package / "placement.py"
+    text = path.read_text()
+    for old, new in replacements.items():
+        assert old in text
+        text = text.replace(old, new)
+    path.write_text(text)
+    return str(folder)
+
+
+def compare_with(version):
+    variants = (
+        scenarios.Variant(name="now", policy=scenarios.Policy.STEERING),
+        scenarios.Variant(
+            name="before", policy=scenarios.Policy.STEERING, version=version
+        ),
+    )
+    scenario = scenarios.load(SHORT).model_copy(update={"variants": variants})
+    now, before = experiments.compare(scenario, 1, 1)
+    return now.results, before.results
+
+
+def test_another_version_plays_alike_as_long_as_it_decides_alike(tmp_path):
+    now, before = compare_with(copy_version(tmp_path))
+    assert now == before
+
+
+def test_another_version_decides_with_its_own_steering(tmp_path):
+    # It takes every server for full, so that it rejects most requests.
+    version = copy_version(
+        tmp_path, **{"OWNER_LOAD = 1.0": "OWNER_LOAD = -1.0"}
+    )
+    now, before = compare_with(version)
+    assert now[0].in_time > before[0].in_time
+
+
+def test_a_version_that_is_not_there_is_a_finding(tmp_path):
+    with pytest.raises(exceptions.InvalidSettings) as caught:
+        compare_with(str(tmp_path))
+    assert caught.value.findings[0].code == "unusable_version"
