Count servers as saturated from half of the time on

Change: SATURATED_SHARE 0.5. The test of a short burst plays eight seeds instead of three. Tests: test_load, test_saturation, test_placement pass.

--- a/src/banyanshed/steering/saturation.py
+++ b/src/banyanshed/steering/saturation.py
@@ -11,7 +11,7 @@
 from banyanshed.steering import models
 
 # Part of the time without a free slot from which a server is saturated.
-SATURATED_SHARE = 0.4
+SATURATED_SHARE = 0.5
 # Time over which that part is averaged, and what one look counts at most.
 AVERAGE_S = 1.0
 MAX_LOOK_WEIGHT = 0.25
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -55,7 +55,7 @@
     assert (in_time + late) * 200.0 >= 0.7 * 136.0
 
 
-@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("seed", range(1, 9))
 def test_a_short_burst_is_queued_rather_than_refused(seed):
     scenario = scenarios.Scenario(
         name="burst", rate=73.0, length_s=10.0, timeout_s=4.0
