Tell in the log when a saturated server was not taught

Cause: a request that a saturated server was not taught is rejected with a load below 1 and an expected time below the remaining one, so that the line did not tell why. No decision changes. Tests: test_placement looks for it; it failed before.

--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -193,9 +193,11 @@
             return Rejection(reason, MAX_RETRY_AFTER_S / 4.0, inputs)
         wait_s = chosen.finish_s - limit_s
         wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        best = chosen.server.registration.id
         inputs = (
-            f"best={chosen.server.registration.id} load={chosen.load:.2f}"
-            f" warm={chosen.warm} expected_ms={chosen.finish_s * 1000:.0f}"
+            f"best={best} load={chosen.load:.2f} warm={chosen.warm}"
+            f" saturated={self.saturation.is_saturated(best)}"
+            f" expected_ms={chosen.finish_s * 1000:.0f}"
             f" left_ms={demand.left_s * 1000:.0f}"
         )
         return Rejection("overloaded", wait_s, inputs)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -296,6 +296,8 @@
     assert owner_of(placing, "known", now=5.0) == "i0"
     rejection = choose(placing, "other", now=5.0)
     assert rejection.reason == "overloaded"
+    # The log tells why, although the server has a free slot.
+    assert "load=0.75 warm=False saturated=True" in rejection.inputs
     placing.random = lambda: 0.01
     assert owner_of(placing, "other", now=5.0) == "i0"
 
