Let the other version in the experiment tool's test reject everything

Change: the other version takes every server for full and every answer for too late; the test expects it to refuse all, and this one to serve more than half. Tests: tests/test_lab.py passes.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -99,13 +99,13 @@
     assert "line 2, field hosts" in capsys.readouterr().err
 
 
-def copy_version(folder, **replacements):
+def copy_version(folder, replacements=None):
     """Makes another version whose steering differs in some text."""
     package = folder / "src" / "banyanshed" / "steering"
     shutil.copytree(pathlib.Path(steering.__file__).parent, package)
     path = package / "placement.py"
     text = path.read_text()
-    for old, new in replacements.items():
+    for old, new in (replacements or {}).items():
         assert old in text
         text = text.replace(old, new)
     path.write_text(text)
@@ -130,12 +130,17 @@
 
 
 def test_another_version_decides_with_its_own_steering(tmp_path):
-    # It takes every server for full, so that it rejects most requests.
+    # It takes every server for full and every answer for too late.
     version = copy_version(
-        tmp_path, **{"OWNER_LOAD = 1.0": "OWNER_LOAD = -1.0"}
+        tmp_path,
+        {
+            "OWNER_LOAD = 1.0": "OWNER_LOAD = -1.0",
+            "FINISH_SHARE = 0.85": "FINISH_SHARE = 0.0",
+        },
     )
     now, before = compare_with(version)
-    assert now[0].in_time > before[0].in_time
+    assert now[0].in_time > 0.5
+    assert before[0].refused == 1.0
 
 
 def test_a_version_that_is_not_there_is_a_finding(tmp_path):
