List a server that got a request too long after it had left

Ruled out: the housekeeping's interval alone (0.25 s); the loss of many entries at once (no more than the limit were gone).

--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,3 +1,5 @@
+import types
+
 import pytest
 
 from banyanshed.gateway import feeds
@@ -59,3 +61,26 @@
     case.remove(*servers)
     assert set(servers) <= case.known_at(101.9)
     assert not set(servers) & case.known_at(102.2)
+
+
+def make_feed(case, table):
+    store = types.SimpleNamespace(is_store=True, name="store")
+    sources = types.SimpleNamespace(store=store)
+    feed = feeds.Feed(mirrors.Mirror(table), sources, case.applier, None)
+    feed.was_connected = True
+    return feed
+
+
+def test_the_feed_that_returns_last_does_not_prolong_the_grace():
+    # The store serves the host again at 100.0; its second feed asks again
+    # 0.45 s later and finds an entry gone. The server may have left at 99.8
+    # and must get nothing from 102.3 on.
+    case = Case()
+    feed = make_feed(case, wire.OPERATOR_TABLE)
+    servers = make_feed(case, wire.SERVER_TABLE)
+    case.applier.in_outage = True
+    feed._note_success()
+    case.now = 100.45
+    servers._note_success()
+    case.remove("i1")
+    assert "i1" not in case.known_at(102.3)
