--- a/src/banyanshed/core/planning.py
+++ b/src/banyanshed/core/planning.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 import dataclasses
 import math
-from typing import Any
+from typing import Any, TypeVar
 
 from banyanshed.core import shares
 
@@ -16,6 +16,8 @@
 POOL_PART = 0.3
 LEVEL_STEP_S = 0.4
 
+Grant = TypeVar("Grant", shares.RateGrant, shares.UnitGrant)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RateAsk:
@@ -118,13 +120,7 @@
     fresh = share is None
     if share is None:
         share = shares.RateShare(limit, limit.burst, moment.latest_s)
-    others = tuple(
-        grant
-        for grant in share.grants
-        if grant.session != ask.session
-        and not is_free(grant.session, limit, moment)
-    )
-    old = next((g for g in share.grants if g.session == ask.session), None)
+    old, others = _split_grants(share.grants, ask.session, limit, moment)
     if old is None:
         old = shares.RateGrant(
             ask.session, ask.write_id, 0, 0, 0, limit.rate, limit.burst
@@ -161,6 +157,23 @@
     )
 
 
+def _split_grants(
+    grants: Sequence[Grant],
+    session: shares.SessionId,
+    limit: shares.Limit,
+    moment: shares.Moment,
+) -> tuple[Grant | None, tuple[Grant, ...]]:
+    """Returns a session's own grant, and those of others that still hold."""
+    own = None
+    others = []
+    for grant in grants:
+        if grant.session == session:
+            own = grant
+        elif not is_free(grant.session, limit, moment):
+            others.append(grant)
+    return own, tuple(others)
+
+
 def _refilled_pool(share: shares.RateShare, moment: shares.Moment) -> float:
     """Returns the tokens of the part of a rate limit that nobody holds."""
     held_rate = sum(grant.rate for grant in share.grants)
@@ -294,13 +307,7 @@
     if share is None:
         start = (shares.Level(moment.latest_s, 0),)
         share = shares.UnitShare(limit, limit.target, moment.latest_s, start)
-    others = tuple(
-        grant
-        for grant in share.grants
-        if grant.session != ask.session
-        and not is_free(grant.session, limit, moment)
-    )
-    old = next((g for g in share.grants if g.session == ask.session), None)
+    old, others = _split_grants(share.grants, ask.session, limit, moment)
     held = old.units if old else 0
     ceiling, ceiling_s = _ceiling(limit, share, moment)
     open_units = min(
--- a/src/banyanshed/core/spending.py
+++ b/src/banyanshed/core/spending.py
@@ -63,9 +63,7 @@
         held.meter.count += cost
         if now_s < self.valid_until_s and held.bucket.take(now_s, cost):
             return admissions.ADMITTED
-        if held.refused == 0:
-            self.hurry(now_s)
-        held.refused += cost
+        self._note_refused(held, now_s, cost)
         for holder in self.adopted:
             if holder.admit(now_s, tenant, cost).admitted:
                 return admissions.ADMITTED
@@ -91,9 +89,7 @@
             if in_use >= held.peak.current:
                 held.peak.current = in_use + 1
             return admissions.Unit(held.limit.key, self.session, now_s)
-        if held.refused == 0:
-            self.hurry(now_s)
-        held.refused += 1
+        self._note_refused(held, now_s, 1)
         for holder in self.adopted:
             unit = holder.acquire(now_s, service, region)
             if unit is not None:
@@ -143,9 +139,7 @@
         held.meter.count += size
         if now_s < self.valid_until_s and held.bucket.reserve(now_s, size):
             return admissions.Reservation(held.limit.key, self.session, size)
-        if held.refused == 0:
-            self.hurry(now_s)
-        held.refused += size
+        self._note_refused(held, now_s, size)
         for holder in self.adopted:
             reservation = holder.reserve_bytes(now_s, source, target, size)
             if reservation is not None:
@@ -195,6 +189,14 @@
                 until_s = holder.valid_until_s
         return until_s
 
+    def _note_refused(
+        self, held: holdings.Held, now_s: float, amount: float
+    ) -> None:
+        """Counts what was refused; the first asks for more shares."""
+        if held.refused == 0:
+            self.hurry(now_s)
+        held.refused += amount
+
     def hurry(self, now_s: float) -> None:
         """Asks for more shares soon, as a request did not get one."""
         raise NotImplementedError
--- a/src/banyanshed/edges/peer_clients.py
+++ b/src/banyanshed/edges/peer_clients.py
@@ -8,7 +8,7 @@
 import random
 import secrets
 import socket
-from typing import Any
+from typing import Any, TypeVar
 
 import capnp
 
@@ -23,6 +23,25 @@
 
 BACKOFF_FIRST_S = 0.25
 BACKOFF_MAX_S = 8.0
+MAX_DELTA_BYTES = 1 << 27
+MAX_CALLS_PER_CONNECTION = 32
+
+Answer = TypeVar("Answer")
+
+
+@dataclasses.dataclass(frozen=True)
+class Chunk:
+    """A part of a delta.
+
+    Attributes:
+        version: Version that the whole delta leads to.
+        size: Bytes of the whole delta.
+        content: The part.
+    """
+
+    version: int
+    size: int
+    content: bytes
 
 
 @dataclasses.dataclass
@@ -140,7 +159,7 @@
             chunk = await self._fetch_chunk(
                 address, since, version, len(content)
             )
-            if chunk.size > peers.MAX_DELTA_BYTES:
+            if chunk.size > MAX_DELTA_BYTES:
                 raise exceptions.PeerMalformed(f"delta of {chunk.size} bytes")
             version = chunk.version
             content += chunk.content
@@ -175,12 +194,12 @@
 
     async def _fetch_chunk(
         self, address: str, since: int, version: int, offset: int
-    ) -> peers.Chunk:
+    ) -> Chunk:
         def send(peer: Any) -> Any:
             return peer.fetchDelta(since, version, offset)
 
-        def read(answer: Any) -> peers.Chunk:
-            return peers.Chunk(answer.version, answer.size, answer.chunk)
+        def read(answer: Any) -> Chunk:
+            return Chunk(answer.version, answer.size, answer.chunk)
 
         return await self._call(address, send, read)
 
@@ -188,13 +207,13 @@
         self,
         address: str,
         send: Callable[[Any], Any],
-        read: Callable[[Any], peers.Answer],
-    ) -> peers.Answer:
+        read: Callable[[Any], Answer],
+    ) -> Answer:
         opened = self.opened.get(address)
         if opened is None:
             await self._make_room()
             opened = self.opened.setdefault(address, Opened())
-        if opened.calls >= peers.MAX_CALLS_PER_CONNECTION:
+        if opened.calls >= MAX_CALLS_PER_CONNECTION:
             raise exceptions.PeerTimeout(f"{address}: too many calls wait")
         opened.used_s = asyncio.get_running_loop().time()
         opened.calls += 1
--- a/src/banyanshed/edges/peer_servers.py
+++ b/src/banyanshed/edges/peer_servers.py
@@ -20,6 +20,7 @@
 
 FAREWELL_S = 0.2
 MAX_CACHED_DELTAS = 2
+CHUNK_BYTES = 1 << 16
 BACKLOG = 64
 
 
@@ -47,7 +48,7 @@
             results = _context.results
             results.version = delta.version
             results.size = len(delta.content)
-            results.chunk = delta.content[offset : offset + peers.CHUNK_BYTES]
+            results.chunk = delta.content[offset : offset + CHUNK_BYTES]
 
     async def heartbeat(self, heartbeat: Any, _context: Any, **_: Any) -> None:
         """Answers the holder of a session as its witness."""
@@ -308,7 +309,7 @@
         if current is not None:
             return current
         delta = self.handler.delta_since(since)
-        if len(delta.content) > peers.CHUNK_BYTES:
+        if len(delta.content) > CHUNK_BYTES:
             self.deltas[(since, delta.version)] = delta
         while len(self.deltas) > MAX_CACHED_DELTAS:
             del self.deltas[next(iter(self.deltas))]
--- a/src/banyanshed/edges/peers.py
+++ b/src/banyanshed/edges/peers.py
@@ -9,7 +9,7 @@
 import hashlib
 import hmac
 import socket
-from typing import Any, Protocol, TypeVar
+from typing import Any, Protocol
 
 import eliot
 
@@ -17,14 +17,10 @@
 from banyanshed.core import handover
 from banyanshed.core import sessions
 
-Answer = TypeVar("Answer")
-
 PROTOCOL_VERSION = 1
 
 MAX_MESSAGE_WORDS = 1 << 15
 MAX_MESSAGE_BYTES = 8 * MAX_MESSAGE_WORDS
-CHUNK_BYTES = 1 << 16
-MAX_DELTA_BYTES = 1 << 27
 NONCE_BYTES = 32
 
 CONNECT_TIMEOUT_S = 1.0
@@ -33,7 +29,6 @@
 IDLE_TIMEOUT_S = 60.0
 MAX_SERVED = 64
 MAX_OPENED = 32
-MAX_CALLS_PER_CONNECTION = 32
 TCP_TIMEOUT_MS = 10_000
 
 
@@ -50,21 +45,6 @@
     content: bytes
 
 
-@dataclasses.dataclass(frozen=True)
-class Chunk:
-    """A part of a delta.
-
-    Attributes:
-        version: Version that the whole delta leads to.
-        size: Bytes of the whole delta.
-        content: The part.
-    """
-
-    version: int
-    size: int
-    content: bytes
-
-
 class PeerHandler(Protocol):
     """What answers the calls of peers; runs on the loop and never blocks."""
 
--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -191,7 +191,7 @@
         entry = choice.server.registration
         progress.tried.append(entry.id)
         started_at = self.loop.time()
-        number = self.health.start(entry.id, started_at, choice.expected_s)
+        number = self.health.start(entry.id, started_at, choice.finish_s)
         outcome = health.Outcome.ABANDONED
         try:
             connection = await self.kept.acquire(
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -116,12 +116,13 @@
         silent = self.fleet.next_silent(now)
         if silent is not None:
             receivers.append(silent)
-        self._send(beat, receivers)
+        datagram = beats.encode(beat)
+        self._send_to(receivers, datagram)
         if len(self.fleet.peers) >= len(self.seeds):
             return
         for ip in self.seeds:
-            if ip != self.fleet.own.ip and self.transport is not None:
-                self.transport.sendto(beats.encode(beat), (ip, self.port))
+            if ip != self.fleet.own.ip:
+                self._send(ip, datagram)
 
     def _send_due(self, now: float) -> None:
         contacts = self.fleet.contacts(now)
@@ -131,14 +132,14 @@
         if due or self.quotas.needs_report(len(contacts) + 1, now):
             self.send_beat()
             return
-        near = [m for m in receivers if self.fleet.is_near(m)]
+        near = self._near(receivers)
         least_s = BUSY_BEAT_S if self.placing.was_busy else NEAR_BEAT_S
         near_s = max(least_s, len(near) * BEAT_PER_HOST_S)
         if now - self.near_at < near_s:
             return
         self.near_at = now
         pairs = self.placing.warmth.take_untold(warmth.Audience.NEAR)
-        self._send(self._make_beat([], pairs), near)
+        self._send_to(near, beats.encode(self._make_beat([], pairs)))
         self.placing.was_busy = False
 
     def _receivers(
@@ -147,11 +148,14 @@
         """Returns the contacts that this host tells of itself."""
         if not relays_lib.is_needed(len(contacts)):
             return contacts
-        return [member for member in contacts if self.fleet.is_near(member)]
+        return self._near(contacts)
+
+    def _near(self, known: list[members.Member]) -> list[members.Member]:
+        return [member for member in known if self.fleet.is_near(member)]
 
     def _send_digest(self, now: float) -> None:
         """Tells the relays of other regions what this region has."""
-        if now - self.digest_at < DIGEST_S or self.transport is None:
+        if now - self.digest_at < DIGEST_S:
             return
         self.digest_at = now
         if not self.relays.is_needed(now):
@@ -166,14 +170,15 @@
         )
         datagram = beats.encode_digest(summary)
         for host in self.relays.partners(place, now):
-            self.transport.sendto(datagram, (host.ip, self.port))
+            self._send(host.ip, datagram)
 
-    def _send(self, beat: beats.Beat, receivers: list[members.Member]) -> None:
-        if self.transport is None:
-            return
-        datagram = beats.encode(beat)
-        for member in receivers:
-            self.transport.sendto(datagram, (member.host.ip, self.port))
+    def _send_to(self, known: list[members.Member], datagram: bytes) -> None:
+        for member in known:
+            self._send(member.host.ip, datagram)
+
+    def _send(self, ip: str, datagram: bytes) -> None:
+        if self.transport is not None:
+            self.transport.sendto(datagram, (ip, self.port))
 
     def _make_beat(
         self, usages: list[beats.UsageForm], warm: list[int]
@@ -219,25 +224,20 @@
     ) -> None:
         summary = self.names.decode_digest(digest)
         self.relays.take(summary, self.applier.view.configuration, now)
-        if summary.relay.ip != sender or self.transport is None:
+        if summary.relay.ip != sender:
             return
         # It came from its region itself: this host is the one to pass it on.
-        for member in self.fleet.contacts(now):
-            if self.fleet.is_near(member):
-                self.transport.sendto(data, (member.host.ip, self.port))
+        self._send_to(self._near(self.fleet.contacts(now)), data)
 
     def _greet(self, host: members.Host, now: float) -> None:
         """Answers a host that has just started with the hosts known here."""
-        if self.transport is None:
-            return
-        address = (host.ip, self.port)
-        self.transport.sendto(beats.encode(self._make_beat([], [])), address)
+        self._send(host.ip, beats.encode(self._make_beat([], [])))
         if not self._is_seed():
             return
         known = [beats.encode_host(m.host) for m in self.fleet.contacts(now)]
         for start in range(0, len(known), CONTACTS_PER_DATAGRAM):
             part = known[start : start + CONTACTS_PER_DATAGRAM]
-            self.transport.sendto(beats.encode(beats.Contacts(part)), address)
+            self._send(host.ip, beats.encode(beats.Contacts(part)))
 
     def _is_seed(self) -> bool:
         return self.fleet.own.ip in self.seeds
@@ -258,7 +258,6 @@
             member = self.fleet.peers.get(id_)
             state = member.state.value if member is not None else "forgotten"
             self.placing.drop_peer(id_)
-            self.outliers.drop_peer(id_)
             logs.log_belief("peer_lost", peer=id_, state=state)
         self.live = live
         for id_ in self.fleet.drop_old(now):
--- a/src/banyanshed/lab/earlier.py
+++ b/src/banyanshed/lab/earlier.py
@@ -4,13 +4,14 @@
 version's modules must be found before any of this version's is imported.
 """
 
-import json
 import os
 import pathlib
 import subprocess
 import sys
-from typing import Any
 
+import msgspec
+
+from banyanshed import documents
 from banyanshed import exceptions
 from banyanshed import steering
 from banyanshed.lab import scenarios
@@ -18,65 +19,66 @@
 PACKAGE = pathlib.Path("src", "banyanshed", "steering")
 
 
-def play_all(
-    scenario: scenarios.Scenario,
-    variant: scenarios.Variant,
-    seeds: int,
-    processes: int,
-) -> list[dict[str, Any]]:
-    """Returns the fields of one result a seed.
+class Task(documents.StrictModel):
+    """What the process plays.
+
+    Attributes:
+        scenario: The scenario.
+        variant: The variant, which names the version.
+        seeds: Number of plays.
+        processes: Plays at a time.
+    """
+
+    scenario: scenarios.Scenario
+    variant: scenarios.Variant
+    seeds: int
+    processes: int
+
+    @property
+    def package(self) -> pathlib.Path:
+        """Folder of the version's steering."""
+        return pathlib.Path(self.variant.version or "") / PACKAGE
+
+
+def play(task: Task) -> bytes:
+    """Returns the results as JSON, one a seed.
 
     Raises:
         exceptions.InvalidSettings: The version can't be played.
     """
-    folder = pathlib.Path(variant.version or "")
-    if not (folder / PACKAGE).is_dir():
-        raise _finding(variant, f"no {PACKAGE} in {folder}")
-    task = {
-        "folder": str(folder),
-        "scenario": scenario.model_dump(mode="json"),
-        "variant": variant.model_dump(mode="json"),
-        "seeds": seeds,
-        "processes": processes,
-    }
+    if not task.package.is_dir():
+        raise _finding(task, f"no folder {task.package}")
     played = subprocess.run(
         [sys.executable, "-m", __name__],
-        input=json.dumps(task),
+        input=task.model_dump_json().encode(),
         capture_output=True,
-        text=True,
         env=os.environ | {"PYTHONDONTWRITEBYTECODE": "1"},
         check=False,
     )
     if played.returncode != 0:
-        raise _finding(variant, played.stderr.strip().rpartition("\n")[2])
-    results: list[dict[str, Any]] = json.loads(played.stdout)
-    return results
+        last_line = played.stderr.decode().strip().rpartition("\n")[2]
+        raise _finding(task, last_line)
+    return played.stdout
 
 
-def _finding(
-    variant: scenarios.Variant, text: str
-) -> exceptions.InvalidSettings:
+def _finding(task: Task, text: str) -> exceptions.InvalidSettings:
     finding = exceptions.Finding(
-        f"variant {variant.name}", "unusable_version", text
+        f"variant {task.variant.name}", "unusable_version", text
     )
     return exceptions.InvalidSettings([finding])
 
 
 def main() -> None:
-    """Plays the task on standard input and prints its results."""
-    task = json.load(sys.stdin)
-    steering.__path__[:] = [str(pathlib.Path(task["folder"]) / PACKAGE)]
+    """Plays the task on standard input and writes its results."""
+    task = Task.model_validate_json(sys.stdin.buffer.read())
+    steering.__path__[:] = [str(task.package)]
     # Imports the steering, now that the other version's is found.
     from banyanshed.lab import experiments  # noqa: PLC0415
 
-    scenario = scenarios.Scenario.model_validate_json(
-        json.dumps(task["scenario"])
-    )
-    variant = scenarios.Variant.model_validate_json(json.dumps(task["variant"]))
     results = experiments.play_seeds(
-        scenario, variant, task["seeds"], task["processes"]
+        task.scenario, task.variant, task.seeds, task.processes
     )
-    print(json.dumps([experiments.encode(result) for result in results]))
+    sys.stdout.buffer.write(msgspec.json.encode(results))
 
 
 if __name__ == "__main__":
--- a/src/banyanshed/lab/experiments.py
+++ b/src/banyanshed/lab/experiments.py
@@ -5,9 +5,9 @@
 import dataclasses
 import pathlib
 import statistics
-from typing import Any
 
 from matplotlib import figure
+import msgspec
 
 from banyanshed.lab import earlier
 from banyanshed.lab import model as model_lib
@@ -36,6 +36,9 @@
     by_second: tuple[float, ...]
 
 
+_RESULTS = msgspec.json.Decoder(tuple[Result, ...])
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Summary:
     """The plays of one variant.
@@ -105,8 +108,13 @@
         if variant.version is None:
             results = play_seeds(scenario, variant, seeds, processes)
         else:
-            played = earlier.play_all(scenario, variant, seeds, processes)
-            results = tuple(_decode(fields) for fields in played)
+            task = earlier.Task(
+                scenario=scenario,
+                variant=variant,
+                seeds=seeds,
+                processes=processes,
+            )
+            results = _RESULTS.decode(earlier.play(task))
         summaries.append(Summary(variant.name, results))
     return summaries
 
@@ -126,16 +134,6 @@
         return tuple(one.result() for one in plays)
 
 
-def encode(result: Result) -> dict[str, Any]:
-    """Returns a result as JSON data."""
-    return dataclasses.asdict(result)
-
-
-def _decode(fields: dict[str, Any]) -> Result:
-    by_second = tuple(fields.pop("by_second"))
-    return Result(**fields, by_second=by_second)
-
-
 def format_table(summaries: Sequence[Summary]) -> str:
     """Returns the summaries as a table for people."""
     rows: list[tuple[str, ...]] = [COLUMNS]
--- a/src/banyanshed/lab/model.py
+++ b/src/banyanshed/lab/model.py
@@ -225,7 +225,7 @@
             return
         name = choice.server.registration.id
         request.tried.append(name)
-        number = host.placing.health.start(name, now, choice.expected_s)
+        number = host.placing.health.start(name, now, choice.finish_s)
         self._accept(now, requests.Attempt(request, choice, number, now))
 
     def _reject(
--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -110,7 +110,7 @@
         pair: The server and the request's object, as told to peers.
         warm: The server knows the object, or there is none to know.
         load: Requests of all hosts at the server, per slot.
-        finish_s: Expected time to the answer.
+        finish_s: Expected time to the answer, with the queue ahead.
     """
 
     server: views.Server
@@ -119,11 +119,6 @@
     load: float
     finish_s: float
 
-    @property
-    def expected_s(self) -> float | None:
-        """Expected time to the answer, with the queue ahead."""
-        return self.finish_s
-
 
 class Placement:
     """Chooses backend servers for the requests of one host."""
@@ -169,8 +164,9 @@
             self.work_of_peers[server] = known + count
 
     def drop_peer(self, host: models.HostId) -> None:
-        """Forgets the requests of a peer that fell silent."""
+        """Forgets what a peer told of servers: its requests and evidence."""
         self.set_peer_work(host, {})
+        self.health.outliers.drop_peer(host)
 
     def choose(self, demand: Demand, now: float) -> Choice | Rejection:
         """Returns the server for a request, or why there is none."""
--- a/src/banyanshed/steering/quotas.py
+++ b/src/banyanshed/steering/quotas.py
@@ -143,20 +143,17 @@
         self, host: models.HostId, usage: Usage, now: float
     ) -> None:
         """Takes a peer's counters; a new peer starts uncharged."""
-        known = self.peers.get(host)
-        if known is not None and usage.admitted < known.admitted:
-            self.retired += known.counted
-            known = None
-        self.peers[host] = _update(known, usage, now)
+        if _has_started_anew(self.peers.get(host), usage):
+            self.drop_peer(host)
+        self.peers[host] = _update(self.peers.get(host), usage, now)
 
     def take_region_report(
         self, region: models.RegionName, usage: Usage, now: float
     ) -> None:
         """Takes the sums of all hosts of another region."""
-        known = self.regions.get(region)
-        if known is not None and usage.admitted < known.admitted:
-            known = None
-        self.regions[region] = _update(known, usage, now)
+        if _has_started_anew(self.regions.get(region), usage):
+            self.drop_region(region)
+        self.regions[region] = _update(self.regions.get(region), usage, now)
 
     def drop_peer(self, host: models.HostId) -> None:
         """Forgets a peer that stopped."""
@@ -255,6 +252,11 @@
         return self.offered * left * left
 
 
+def _has_started_anew(known: _PeerUsage | None, usage: Usage) -> bool:
+    """Whether a peer counts from zero again."""
+    return known is not None and usage.admitted < known.admitted
+
+
 def _update(known: _PeerUsage | None, usage: Usage, now: float) -> _PeerUsage:
     """Returns what is known of a peer after a report."""
     if known is None:
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -168,7 +168,6 @@
     def drop_region(self, region: models.RegionName) -> None:
         """Forgets the work of a region, whose hosts tell it themselves."""
         self.placing.drop_peer(_region_id(region))
-        self.placing.health.outliers.drop_peer(_region_id(region))
 
     def _take_hosts(self, summary: Summary, now: float) -> None:
         for host in summary.named:
@@ -181,7 +180,6 @@
             self.fleet.hear(member.host, state, now)
             # What it told itself before is now part of the region's sums.
             self.placing.drop_peer(member.host.id)
-            self.placing.health.outliers.drop_peer(member.host.id)
         relay = self.fleet.peers.get(summary.relay.id)
         if relay is not None:
             relay.note_versions(summary.op_version, summary.servers_version)
