Tell why and how long a server without an entry is kept

server_kept names the reason, the time and the source; store_regained the age of the answer, of the last failure and of the loss; two counters count what is kept and dropped. No decision changed.

--- a/src/banyanshed/explanations.py
+++ b/src/banyanshed/explanations.py
@@ -18,6 +18,7 @@
         "ready",
         "server_ejected",
         "server_gone",
+        "server_kept",
         "server_known",
         "server_readmitted",
         "server_unreachable",
--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -38,12 +38,14 @@
         view: views.View,
         forget_server: Callable[[models.ServerId], None],
         take_limits: Callable[[models.Configuration], None],
+        counters: metrics.Metrics,
         clock: Callable[[], float],
     ):
         """Takes the view and what depends on it."""
         self.view = view
         self.forget_server = forget_server
         self.take_limits = take_limits
+        self.counters = counters
         self.clock = clock
         self.outage_ended_at = float("-inf")
         self.in_outage = False
@@ -61,8 +63,7 @@
     def drop_missing(self) -> None:
         """Drops servers whose entries did not come back."""
         for server in self.view.drop_missing(self.clock()):
-            self.forget_server(server)
-            logs.log_belief("server_gone", server=server, cause="not_back")
+            self._note_gone(server, "not_back")
 
     def _apply_operator(
         self, mirror: mirrors.Mirror, changed: Iterable[wire.Row], source: str
@@ -107,13 +108,15 @@
         now = self.clock()
         removed = sum(1 for row in changed if row.value is None)
         keep_until = self.outage_ended_at + RETURN_GRACE_S
+        reason = "store_returned"
         mass_loss = max(2.0, MASS_LOSS_SHARE * len(self.view.servers))
         if self.in_outage or removed > mass_loss:
             keep_until = now + RETURN_GRACE_S
+            reason = "store_lost" if self.in_outage else "many_removed"
         for row in changed:
             id_ = models.ServerId(row.key)
             if row.value is None:
-                self._drop(id_, now, keep_until, source)
+                self._drop(id_, now, keep_until, reason, source)
                 continue
             try:
                 entry = wire.decode_server(row.key, row.value)
@@ -121,7 +124,7 @@
                 logs.log_belief(
                     "server_entry_unreadable", server=id_, error=str(error)
                 )
-                self._drop(id_, now, now, source)
+                self._drop(id_, now, now, "", source)
                 continue
             self._put(entry, now, row.version, source)
 
@@ -151,13 +154,34 @@
             )
 
     def _drop(
-        self, id_: models.ServerId, now: float, keep_until: float, source: str
+        self,
+        id_: models.ServerId,
+        now: float,
+        keep_until: float,
+        reason: str,
+        source: str,
     ) -> None:
         if self.view.drop_server(id_, now, keep_until):
-            self.forget_server(id_)
-            logs.log_belief(
-                "server_gone", server=id_, cause="entry_removed", source=source
-            )
+            self._note_gone(id_, "entry_removed", source=source)
+            return
+        if id_ not in self.view.servers:
+            return
+        self.counters.count_kept_server(reason)
+        logs.log_belief(
+            "server_kept",
+            server=id_,
+            reason=reason,
+            kept_s=round(keep_until - now, 3),
+            since_return_s=round(min(now - self.outage_ended_at, 999.0), 3),
+            source=source,
+        )
+
+    def _note_gone(
+        self, id_: models.ServerId, cause: str, **fields: str
+    ) -> None:
+        self.forget_server(id_)
+        self.counters.count_gone_server(cause)
+        logs.log_belief("server_gone", server=id_, cause=cause, **fields)
 
 
 class Feed:
@@ -181,6 +205,9 @@
         self.is_connected = False
         self.was_connected = False
         self.retry_s = RETRY_MIN_S
+        self.answered_at = float("-inf")
+        self.lost_at = float("-inf")
+        self.failed_at = float("-inf")
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
@@ -209,6 +236,7 @@
             mirror.set_follows_store(False)
         if self.must_read_all:
             page = await source.tables.read_table(mirror.table)
+            self.answered_at = self.applier.clock()
             self.must_read_all = False
             changed = mirror.replace(page)
             self._count(source, "read")
@@ -217,6 +245,7 @@
         page = await source.tables.read_changes(
             mirror.table, mirror.version, source.wait_s
         )
+        self.answered_at = self.applier.clock()
         self._count(source, "changes")
         changed = mirror.merge(page)
         if not changed:
@@ -240,11 +269,24 @@
         if self.was_connected:
             self.applier.in_outage = False
             self.applier.outage_ended_at = self.applier.clock()
+        now = self.applier.clock()
+        fields = {"answered_s_ago": round(now - self.answered_at, 3)}
+        if self.was_connected:
+            # What the store did between the last failure and the answer is
+            # not known to this host.
+            fields["lost_s"] = round(now - self.lost_at, 3)
+            fields["failed_s_ago"] = round(now - self.failed_at, 3)
         self.was_connected = True
-        logs.log_belief("store_regained", table=self.mirror.table)
+        logs.log_belief(
+            "store_regained",
+            table=self.mirror.table,
+            source=self.source.name,
+            **fields,
+        )
 
     def _note_failure(self, error: exceptions.PlatformError) -> None:
         self.failures += 1
+        self.failed_at = self.applier.clock()
         self._count(self.source, error.code)
         self.mirror.set_follows_store(False)
         if not self.source.is_store:
@@ -259,6 +301,7 @@
         if not self.is_connected:
             return
         self.is_connected = False
+        self.lost_at = self.failed_at
         self.applier.in_outage = True
         logs.log_belief(
             "store_lost",
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -109,7 +109,11 @@
             int(settings.memory_bytes * MEMORY_SHARE_FOR_BODIES),
         )
         self.applier = feeds.Applier(
-            self.view, self._forget_server, self._take_limits, clock
+            self.view,
+            self._forget_server,
+            self._take_limits,
+            self.counters,
+            clock,
         )
         self.mirrors = {
             table: mirrors.Mirror(table)
--- a/src/banyanshed/gateway/logs.py
+++ b/src/banyanshed/gateway/logs.py
@@ -1,8 +1,8 @@
 """Structured logs on standard output that never hold up the event loop.
 
 Lines wait in a bounded buffer while the reader is slow; what does not fit is
-dropped and counted. Successful requests are logged up to a rate, everything
-else up to a higher one.
+dropped and counted. Successful requests are logged up to a rate, other requests
+up to a higher one, and changes of belief up to one of their own.
 """
 
 import collections
@@ -52,6 +52,7 @@
         self.dropped = 0
         self.routine = Rate(ROUTINE_LINES_PER_S)
         self.other = Rate(OTHER_LINES_PER_S)
+        self.beliefs = Rate(OTHER_LINES_PER_S)
         self.host = ""
 
     def __call__(self, message: dict[str, Any]) -> None:
@@ -112,15 +113,25 @@
 
 def log_request(event: str, routine: bool, **fields: Any) -> None:
     """Logs what became of a request; routine ones up to a lower rate."""
-    if _output is None:
-        return
-    rate = _output.routine if routine else _output.other
-    if not rate.allow():
-        _output.dropped += 1
-        return
-    eliot.log_message(message_type=event, **fields)
+    if _output is not None:
+        _log(
+            _output,
+            _output.routine if routine else _output.other,
+            event,
+            fields,
+        )
 
 
 def log_belief(event: str, **fields: Any) -> None:
     """Logs a change of what this host believes."""
-    log_request(event, False, **fields)
+    if _output is not None:
+        _log(_output, _output.beliefs, event, fields)
+
+
+def _log(
+    output: Output, rate: Rate, event: str, fields: dict[str, Any]
+) -> None:
+    if not rate.allow():
+        output.dropped += 1
+        return
+    eliot.log_message(message_type=event, **fields)
--- a/src/banyanshed/gateway/metrics.py
+++ b/src/banyanshed/gateway/metrics.py
@@ -39,6 +39,18 @@
             ("call", "result"),
             registry=self.registry,
         )
+        self.gone_servers = prometheus_client.Counter(
+            "banyanshed_servers_gone",
+            "Backend servers that were dropped, by cause.",
+            ("cause",),
+            registry=self.registry,
+        )
+        self.kept_servers = prometheus_client.Counter(
+            "banyanshed_servers_kept",
+            "Backend servers that were kept without their entry, by reason.",
+            ("reason",),
+            registry=self.registry,
+        )
 
     def count_request(
         self,
@@ -62,6 +74,14 @@
         """Counts a call of the store."""
         self.store_calls.labels(call, result).inc()
 
+    def count_gone_server(self, cause: str) -> None:
+        """Counts a backend server that was dropped."""
+        self.gone_servers.labels(cause).inc()
+
+    def count_kept_server(self, reason: str) -> None:
+        """Counts a backend server whose entry went and that may come back."""
+        self.kept_servers.labels(reason).inc()
+
     def encode(self) -> bytes:
         """Returns all metrics in the text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -143,6 +143,23 @@
         os.close(writer)
 
 
+def test_changes_of_belief_are_logged_while_many_requests_are_refused():
+    reader, writer = os.pipe()
+    output = logs.start(writer, "h1")
+    try:
+        for _ in range(5000):
+            logs.log_request("request", False)
+        dropped = output.dropped
+        assert dropped > 0
+        for _ in range(100):
+            logs.log_belief("server_gone", server="i1")
+        assert output.dropped == dropped
+    finally:
+        logs.stop()
+        os.close(reader)
+        os.close(writer)
+
+
 def test_platform_settings_are_checked(tmp_path, capsys):
     path = tmp_path / "node.yaml"
     path.write_text("node: x\n")
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,8 +1,12 @@
+import json
+import os
 import types
 
 import pytest
 
 from banyanshed.gateway import feeds
+from banyanshed.gateway import logs
+from banyanshed.gateway import metrics
 from banyanshed.gateway import mirrors
 from banyanshed.platform import wire
 from tests import steering_cases as cases
@@ -16,7 +20,11 @@
         self.view = cases.make_view(now=90.0)
         self.forgotten = []
         self.applier = feeds.Applier(
-            self.view, self.forgotten.append, lambda _: None, lambda: self.now
+            self.view,
+            self.forgotten.append,
+            lambda _: None,
+            metrics.Metrics(),
+            lambda: self.now,
         )
         self.mirror = mirrors.Mirror(wire.SERVER_TABLE)
 
@@ -63,6 +71,38 @@
     assert not set(servers) & case.known_at(102.2)
 
 
+@pytest.fixture(name="lines")
+def capture_lines():
+    """Returns a function that reads the lines logged so far."""
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    logs.start(writer, "h1")
+
+    def read():
+        data = os.read(reader, 1 << 16)
+        return [json.loads(line) for line in data.splitlines()]
+
+    yield read
+    logs.stop()
+    os.close(reader)
+    os.close(writer)
+
+
+def test_the_log_tells_why_a_server_without_an_entry_was_kept(lines):
+    case = Case()
+    case.applier.in_outage = True
+    case.remove("i1")
+    case.known_at(103.0)
+    kept, gone = lines()
+    assert kept["message_type"] == "server_kept"
+    assert (kept["server"], kept["reason"]) == ("i1", "store_lost")
+    assert gone["message_type"] == "server_gone"
+    assert (gone["server"], gone["cause"]) == ("i1", "not_back")
+    page = case.applier.counters.encode().decode()
+    assert 'banyanshed_servers_kept_total{reason="store_lost"} 1.0' in page
+    assert 'banyanshed_servers_gone_total{cause="not_back"} 1.0' in page
+
+
 def make_feed(case, table):
     store = types.SimpleNamespace(is_store=True, name="store")
     sources = types.SimpleNamespace(store=store)
