--- /dev/null
+++ b/tests/test_leaving_servers.py
@@ -0,0 +1,188 @@
+"""Servers that leave get nothing once the bound on draining is over."""
+
+import asyncio
+import random
+
+import pytest
+
+from banyanshed import exceptions
+from banyanshed.gateway import feeds
+from banyanshed.gateway import host as host_lib
+from banyanshed.gateway import metrics
+from banyanshed.gateway import mirrors
+from banyanshed.gateway import sources
+from banyanshed.platform import wire
+from tests import steering_cases as cases
+from tests import virtual_time
+
+DRAIN_S = 2.5
+STABLE_S = 3.0
+TABLES = (wire.OPERATOR_TABLE, wire.SERVER_TABLE)
+
+
+class Store:
+    """A store that turns one host away for a while."""
+
+    def __init__(self):
+        self.loop = asyncio.get_running_loop()
+        self.changes = []
+        self.changed = asyncio.Event()
+        self.refuses = False
+
+    def change(self, table, key, value):
+        row = wire.Row(key, value, len(self.changes) + 1)
+        self.changes.append((table, row))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def read_table(self, table):
+        return await self.read_changes(table, -1, 0.0)
+
+    async def read_changes(self, table, after, wait_s):
+        await asyncio.sleep(0.004)
+        end_at = self.loop.time() + wait_s
+        while True:
+            if self.refuses:
+                raise exceptions.StoreUnavailable("status 429")
+            rows = [
+                row
+                for of_table, row in self.changes
+                if of_table == table and row.version > after
+            ]
+            if rows or self.loop.time() >= end_at:
+                return wire.Page(tuple(rows), len(self.changes), False)
+            try:
+                async with asyncio.timeout_at(end_at):
+                    await self.changed.wait()
+            except TimeoutError:
+                continue
+
+
+class OnlyStore:
+    """Sources of a host that follows the store itself."""
+
+    def __init__(self, store):
+        self.store = sources.Source("store", store, 20.0, True)
+
+    def choose(self, table, failures, now):
+        del table, failures, now
+        return self.store
+
+
+def server_value(id_, number=0):
+    return (
+        f'{{"addr": "10.0.0.1:{8000 + number}", "info": {{"backend": "s",'
+        f' "zone": "a1", "slots": 4}}, "status": {{"state": "ready"}},'
+        f' "born": {number}}}'
+    ).encode()
+
+
+class FollowingHost:
+    """What of a host follows the store's tables and keeps house."""
+
+    def __init__(self, store):
+        loop = asyncio.get_running_loop()
+        self.view = cases.make_view(0)
+        self.applier = feeds.Applier(
+            self.view,
+            lambda _: None,
+            lambda _: None,
+            metrics.Metrics(),
+            loop.time,
+        )
+        self.feeds = [
+            feeds.Feed(
+                mirrors.Mirror(table),
+                OnlyStore(store),
+                self.applier,
+                metrics.Metrics(),
+            )
+            for table in TABLES
+        ]
+
+    def start(self):
+        """Returns the tasks that run until cancelled."""
+        runs = [feed.run() for feed in self.feeds]
+        return [asyncio.ensure_future(run) for run in [*runs, self.keep()]]
+
+    async def keep(self):
+        while True:
+            await asyncio.sleep(host_lib.HOUSEKEEPING_S)
+            self.applier.drop_missing()
+
+
+async def change_often(store, rng):
+    """Changes both tables again and again, as other servers come and go."""
+    number = 100
+    while True:
+        await asyncio.sleep(rng.uniform(0.1, 1.0))
+        number += 1
+        store.change(wire.OPERATOR_TABLE, "evacuate/x", b"{}")
+        store.change(wire.SERVER_TABLE, "other", server_value("other", number))
+
+
+async def sleep_until(at):
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(max(0.0, at - loop.time()))
+
+
+@pytest.mark.parametrize("busy", [True, False])
+def test_a_server_that_leaves_around_a_cut_is_gone_within_the_bound(busy):
+    # The bound holds for a host that has been served again for STABLE_S.
+    async def play(seed):
+        rng = random.Random(seed)
+        random.seed(seed)
+        store = Store()
+        for number in range(8):
+            id_ = f"i{number}"
+            store.change(wire.SERVER_TABLE, id_, server_value(id_, number))
+        host = FollowingHost(store)
+        tasks = host.start()
+        if busy:
+            tasks.append(asyncio.ensure_future(change_often(store, rng)))
+        cut_at = 10.0
+        back_at = cut_at + rng.uniform(3.0, 9.0)
+        leaves_at = back_at + rng.uniform(-2.5, 1.5)
+        await sleep_until(cut_at)
+        assert "i1" in host.view.servers
+        store.refuses = True
+        store.change("other", "x", b"")
+        for at, is_return in sorted([(back_at, True), (leaves_at, False)]):
+            await sleep_until(at)
+            if is_return:
+                store.refuses = False
+            else:
+                store.change(wire.SERVER_TABLE, "i1", None)
+        await sleep_until(max(leaves_at + DRAIN_S, back_at + STABLE_S))
+        for task in tasks:
+            task.cancel()
+        return "i1" not in host.view.servers
+
+    late = [seed for seed in range(200) if not virtual_time.run(play(seed))]
+    assert not late
+
+
+@pytest.mark.parametrize("count", [3, 8])
+def test_many_servers_that_leave_at_once_are_gone_within_the_bound(count):
+    async def play(seed):
+        rng = random.Random(seed)
+        random.seed(seed)
+        store = Store()
+        for number in range(8):
+            id_ = f"i{number}"
+            store.change(wire.SERVER_TABLE, id_, server_value(id_, number))
+        host = FollowingHost(store)
+        tasks = host.start()
+        tasks.append(asyncio.ensure_future(change_often(store, rng)))
+        await asyncio.sleep(10.0 + rng.random())
+        leaving = {f"i{number}" for number in range(count)}
+        assert leaving <= set(host.view.servers)
+        for id_ in sorted(leaving):
+            store.change(wire.SERVER_TABLE, id_, None)
+        await asyncio.sleep(DRAIN_S)
+        for task in tasks:
+            task.cancel()
+        return not leaving & set(host.view.servers)
+
+    late = [seed for seed in range(100) if not virtual_time.run(play(seed))]
+    assert not late
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,32 @@
+"""An event loop whose clock jumps to the next timer instead of waiting."""
+
+import asyncio
+import selectors
+
+
+class _Selector(selectors.SelectSelector):
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout=None):
+        if timeout is not None and timeout > 0.0:
+            self.now += timeout
+        return super().select(0)
+
+
+class Loop(asyncio.SelectorEventLoop):
+    """A loop for code that waits for timers only."""
+
+    def __init__(self):
+        self.jumping = _Selector()
+        super().__init__(self.jumping)
+
+    def time(self):
+        return self.jumping.now
+
+
+def run(coroutine):
+    """Runs a coroutine on a loop of its own."""
+    with asyncio.Runner(loop_factory=Loop) as runner:
+        return runner.run(coroutine)
