Keep many servers that go at once no longer than the bound allows

Cause: such a loss is taken for entries that lapsed while the store was away unnoticed, and each was kept 2.1 s from when the host learned of it: the pause of the feed and housekeeping came on top.

Change: what may have happened a pause ago is kept only for what the bound leaves (1.6 s of 2.5 s).

--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -53,12 +53,20 @@
         mirror: mirrors.Mirror,
         changed: Iterable[wire.Row],
         source: str,
+        late_s: float = 0.0,
     ) -> None:
-        """Takes the changed rows of a mirror."""
+        """Takes the changed rows of a mirror.
+
+        Args:
+            mirror: The mirror, which has them already.
+            changed: The rows.
+            source: Who told them, for logs.
+            late_s: How long ago they may have been changed at most.
+        """
         if mirror.table == wire.OPERATOR_TABLE:
             self._apply_operator(mirror, changed, source)
         else:
-            self._apply_servers(list(changed), source)
+            self._apply_servers(list(changed), source, late_s)
             self.view.servers_known = True
 
     def drop_missing(self) -> None:
@@ -103,15 +111,18 @@
             source=source,
         )
 
-    def _apply_servers(self, changed: list[wire.Row], source: str) -> None:
+    def _apply_servers(
+        self, changed: list[wire.Row], source: str, late_s: float
+    ) -> None:
         now = self.clock()
         removed = sum(1 for row in changed if row.value is None)
         keep_until = self.outage.kept_until(now)
         reason = "store_lost" if self.outage.is_on else "store_returned"
         mass_loss = max(2.0, MASS_LOSS_SHARE * len(self.view.servers))
         if removed > mass_loss and not self.outage.is_on:
-            keep_until = now + waits_lib.RETURN_S
-            reason = "many_removed"
+            in_service = now + self.waits.kept_in_service_s(late_s)
+            if in_service > keep_until:
+                keep_until, reason = in_service, "many_removed"
         for row in changed:
             id_ = models.ServerId(row.key)
             if row.value is None:
@@ -260,7 +271,8 @@
             self._note_answer("changes")
             changed = mirror.merge(page)
         if changed or not self.applier.view.servers_known:
-            self.applier.apply(mirror, changed, source.name)
+            late_s = self._waits().spacing_s
+            self.applier.apply(mirror, changed, source.name, late_s)
         return bool(changed)
 
     def _waits(self) -> waits_lib.TableWaits:
--- a/src/banyanshed/steering/waits.py
+++ b/src/banyanshed/steering/waits.py
@@ -71,6 +71,15 @@
         """
         return self.bounds.stable_s - HOUSEKEEPING_S - DELIVERY_S
 
+    def kept_in_service_s(self, late_s: float) -> float:
+        """Returns how long a server may be kept that the store lets go.
+
+        Args:
+            late_s: How long ago its entry may have gone at most.
+        """
+        left_s = self.bounds.drain_s - late_s - HOUSEKEEPING_S - DELIVERY_S
+        return max(0.0, min(RETURN_S, left_s))
+
 
 def _make_table(bound_s: float, spacing_share: float) -> TableWaits:
     spacing_s = bound_s * spacing_share
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -35,3 +35,10 @@
     until = outage.kept_until(99.0)
     outage.fail(99.0)
     assert outage.kept_until(99.0) == until
+
+
+def test_servers_that_left_in_good_order_are_not_kept_beyond_the_bound():
+    kept = waits.Waits(models.Bounds(drain_s=2.5)).kept_in_service_s
+    assert kept(0.0) == waits.RETURN_S
+    assert kept(1.0) + 1.0 < 2.5
+    assert kept(3.0) == 0.0
