Send nothing to a server that left while its connection was opened

A connection to a server may take 0.6 s; the request was then sent although the host had dropped the server, or its zone was evacuated, meanwhile.

After the connection is there the host asks once more whether the server takes requests; if not, the request goes to another one and counts as not sent. Without the check test_a_server_that_leaves_while_it_is_connected_to_gets_nothing fails three times (gone, draining, evacuated); with it it passes.

--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -197,6 +197,11 @@
             connection = await self.kept.acquire(
                 entry, plan.route.idempotent, self.loop.time()
             )
+            if not self.placing.view.takes_requests(choice.server):
+                # It left while the connection was opened.
+                connection.abort()
+                progress.reason = "server_left"
+                return None
             progress.sends += 1
             progress.ran_before = progress.may_have_run
             progress.may_have_run = True
--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -311,12 +311,7 @@
         now: float,
     ) -> bool:
         entry = server.registration
-        if (
-            entry.state is not models.ServerState.READY
-            or entry.id in demand.tried
-        ):
-            return False
-        if entry.zone in self.view.evacuated:
+        if entry.id in demand.tried or not self.view.takes_requests(server):
             return False
         homes = demand.homes
         if homes and self.view.region_of(server) not in homes:
--- a/src/banyanshed/steering/views.py
+++ b/src/banyanshed/steering/views.py
@@ -115,6 +115,15 @@
             self._index()
         return gone
 
+    def takes_requests(self, server: Server) -> bool:
+        """Whether a server is still known, ready and in a zone in use."""
+        entry = server.registration
+        if self.servers.get(entry.id) is not server:
+            return False
+        if entry.state is not models.ServerState.READY:
+            return False
+        return entry.zone not in self.evacuated
+
     def region_of(self, server: Server) -> models.RegionName | None:
         """Returns the region that a server stands in."""
         return self.zones.get(server.registration.zone)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -137,6 +137,40 @@
     gateway_fleet.play(scenario)
 
 
+@pytest.mark.parametrize("change", ["gone", "draining", "evacuated"])
+def test_a_server_that_leaves_while_it_is_connected_to_gets_nothing(change):
+    async def scenario(fleet):
+        other = await fleet.add_server("i3", "b1")
+        host = fleet.hosts["h1"]
+        view = host.view
+        await fleet.await_true(lambda: "i3" in view.servers)
+        chosen = []
+
+        async def leave_and_connect(server, idempotent, now):
+            del idempotent, now
+            chosen.append(server.id)
+            if len(chosen) == 1:
+                if change == "gone":
+                    await fleet.store.remove("servers", server.id)
+                if change == "draining":
+                    await fleet.register(server.id, state="draining")
+                if change == "evacuated":
+                    await fleet.store.put("op", "evacuate/a1", {})
+                known = view.servers[server.id]
+                await fleet.await_true(lambda: not view.takes_requests(known))
+            return await clients.open_connection(server.address, 1.0)
+
+        host.kept.acquire = leave_and_connect
+        assert (await fleet.call("/u/x", method="POST")).status == 200
+        reached = [e.server.id for e in gateway_fleet.all_exchanges(fleet)]
+        assert len(reached) == 1
+        assert reached[0] != chosen[0]
+        if change == "evacuated":
+            assert reached == [other.id]
+
+    gateway_fleet.play(scenario)
+
+
 def test_entries_that_lapse_while_the_store_is_away_come_back():
     async def scenario(fleet):
         host = fleet.hosts["h1"]
