Give up answers without end before they fill the memory

An answer is held whole, up to 32 MB each: six at once held 192 MB of a host's 222 MB. Interim responses without end, and responses of other requests, ended at the route's timeout only, with 504, and kept the loop busy.

Change: gateway/memory.py counts what all answers under way hold and gives up the longest when it is over 15% of the memory (up to three copies exist while one is passed on); 16 other responses end a connection. The heads' limit of 64 KB held already, also for trailers and chunk extensions.

--- a/src/banyanshed/gateway/clients.py
+++ b/src/banyanshed/gateway/clients.py
@@ -7,11 +7,14 @@
 import h11
 
 from banyanshed import exceptions
+from banyanshed.gateway import memory
 from banyanshed.gateway import messages
 from banyanshed.steering import models
 
 MAX_RESPONSE_BYTES = 32 << 20
 MAX_HEADER_BYTES = 64 << 10
+# Interim responses, and responses of other requests, before the one awaited.
+MAX_OTHER_RESPONSES = 16
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -46,8 +49,13 @@
         is_open: It can carry another request.
     """
 
-    def __init__(self) -> None:
-        """Starts unconnected; the event loop calls connection_made."""
+    def __init__(self, answers: memory.AnswerMemory | None = None):
+        """Starts unconnected; the event loop calls connection_made.
+
+        Args:
+            answers: Limits what the answers of many connections may hold.
+        """
+        self.answers = answers
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.http = self._new_http()
@@ -61,6 +69,7 @@
         self.expected_id: bytes | None = None
         self.response: h11.Response | None = None
         self.body = bytearray()
+        self.other_responses = 0
 
     async def send(
         self,
@@ -89,6 +98,7 @@
         )
         self.request_body = request.body
         self.waiter = self.loop.create_future()
+        self.other_responses = 0
         self.transport.write(self._encode_request())
         try:
             return await self.waiter
@@ -99,6 +109,13 @@
             self.waiter = None
             self.request = None
             self.request_body = b""
+            self._drop_body()
+
+    def give_up(self, reason: str) -> None:
+        """Fails the request under way and drops the connection."""
+        self._fail(reason)
+        self._drop_body()
+        self.abort()
 
     def abort(self) -> None:
         """Drops the connection and whatever is under way on it."""
@@ -145,15 +162,15 @@
                 return
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
+            if isinstance(event, h11.InformationalResponse):
+                self._note_other_response()
+                continue
             if isinstance(event, h11.Response):
                 self.response = event
-                self.body.clear()
+                self._drop_body()
                 continue
             if isinstance(event, h11.Data):
-                self.body += event.data
-                if len(self.body) > MAX_RESPONSE_BYTES:
-                    self._fail("response too long")
-                    self.abort()
+                self._take_body(event.data)
                 continue
             if isinstance(event, h11.EndOfMessage):
                 self._end_response()
@@ -162,6 +179,23 @@
                 self._fail("closed before the response")
                 return
 
+    def _take_body(self, data: bytes) -> None:
+        self.body += data
+        if len(self.body) > MAX_RESPONSE_BYTES:
+            self.give_up("response too long")
+        elif self.answers is not None:
+            self.answers.take(self, len(data))
+
+    def _drop_body(self) -> None:
+        self.body = bytearray()
+        if self.answers is not None:
+            self.answers.release(self)
+
+    def _note_other_response(self) -> None:
+        self.other_responses += 1
+        if self.other_responses > MAX_OTHER_RESPONSES:
+            self.give_up("only responses of other requests")
+
     def _end_response(self) -> None:
         assert self.response is not None and self.waiter is not None
         headers = list(self.response.headers)
@@ -179,6 +213,7 @@
 
     def _skip_response(self, trailing: bytes) -> None:
         """Goes on to the next response, as if the request were sent again."""
+        self._note_other_response()
         if self.http.their_state is not h11.DONE:
             self._fail("only a response of another request")
             self.abort()
@@ -226,10 +261,17 @@
 
 
 async def open_connection(
-    address: models.Address, timeout_s: float
+    address: models.Address,
+    timeout_s: float,
+    answers: memory.AnswerMemory | None = None,
 ) -> Connection:
     """Opens a connection.
 
+    Args:
+        address: Where to connect.
+        timeout_s: Longest time that it may take.
+        answers: Limits what the answers of many connections may hold.
+
     Raises:
         ConnectFailed: Nobody listens, or the network refused.
         ConnectTimedOut: It took longer than the timeout.
@@ -238,7 +280,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                Connection, address[0], address[1]
+                lambda: Connection(answers), address[0], address[1]
             )
     except TimeoutError as error:
         raise ConnectTimedOut(f"{address[0]}:{address[1]}") from error
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -23,6 +23,7 @@
 from banyanshed.gateway import gossip as gossip_lib
 from banyanshed.gateway import listeners
 from banyanshed.gateway import logs
+from banyanshed.gateway import memory
 from banyanshed.gateway import messages
 from banyanshed.gateway import metrics
 from banyanshed.gateway import mirrors
@@ -60,7 +61,10 @@
 # Parts of the time between SIGTERM and SIGKILL.
 ACCEPT_SHARE = 0.5
 FINISH_SHARE = 0.87
+# Parts of the memory for bodies of requests, and for answers under way, of
+# which there are up to three copies while one is passed on.
 MEMORY_SHARE_FOR_BODIES = 0.25
+MEMORY_SHARE_FOR_ANSWERS = 0.15
 # New rounds of the host list while the store does not answer.
 ANNOUNCE_RETRY_S = 1.0
 
@@ -99,7 +103,11 @@
             random.random,
         )
         self.router = routing.Router(self.view, self.quotas, random.random)
-        self.kept = pools.Pools()
+        self.kept = pools.Pools(
+            memory.AnswerMemory(
+                int(settings.memory_bytes * MEMORY_SHARE_FOR_ANSWERS)
+            )
+        )
         self.retries = budgets.RetryBudget(settings.retries)
         self.forwarder = forwarding.Forwarder(
             self.router, self.placing, self.retries, self.kept, self.counters
--- a/src/banyanshed/gateway/pools.py
+++ b/src/banyanshed/gateway/pools.py
@@ -3,6 +3,7 @@
 import collections
 
 from banyanshed.gateway import clients
+from banyanshed.gateway import memory
 from banyanshed.steering import models
 
 CONNECT_TIMEOUT_S = 0.6
@@ -15,8 +16,9 @@
 class Pools:
     """Idle connections of this host, by backend server."""
 
-    def __init__(self) -> None:
-        """Starts without connections."""
+    def __init__(self, answers: memory.AnswerMemory):
+        """Starts without connections; answers are held within a limit."""
+        self.answers = answers
         self.idle: dict[
             models.ServerId, collections.deque[clients.Connection]
         ] = {}
@@ -41,7 +43,9 @@
             if _is_fresh(connection, idempotent, now):
                 return connection
             connection.abort()
-        return await clients.open_connection(server.address, CONNECT_TIMEOUT_S)
+        return await clients.open_connection(
+            server.address, CONNECT_TIMEOUT_S, self.answers
+        )
 
     def release(
         self, server: models.ServerId, connection: clients.Connection
