Split the module of feeds by job, and drop twins beside library pieces

Clean-up, behaviour as before: appliers.py takes rows into the view, feeds.py follows a table. Set-ups that stood twice in tests are fixtures.

--- a/src/banyanshed/gateway/copies.py
+++ b/src/banyanshed/gateway/copies.py
@@ -8,8 +8,8 @@
 from urllib import parse
 
 from banyanshed import exceptions
+from banyanshed.gateway import appliers
 from banyanshed.gateway import beats
-from banyanshed.gateway import feeds
 from banyanshed.gateway import logs
 from banyanshed.gateway import messages
 from banyanshed.gateway import mirrors
@@ -28,7 +28,7 @@
     def __init__(
         self,
         fleet: members.Members,
-        applier: feeds.Applier,
+        applier: appliers.Applier,
         tables: dict[str, mirrors.Mirror],
         relays: relays_lib.Relays,
         port: int,
@@ -93,7 +93,7 @@
                 behind_since = None
 
     def _waits(self, mirror: mirrors.Mirror) -> waits_lib.TableWaits:
-        return feeds.table_waits(self.applier.waits, mirror.table)
+        return self.applier.waits_of(mirror.table)
 
     def _find_ahead(
         self, mirror: mirrors.Mirror, now: float
--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -6,198 +6,18 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
 import random
-import time
 
 from banyanshed import exceptions
+from banyanshed.gateway import appliers
 from banyanshed.gateway import logs
 from banyanshed.gateway import metrics
 from banyanshed.gateway import mirrors
 from banyanshed.gateway import sources as sources_lib
 from banyanshed.platform import store as store_lib
-from banyanshed.platform import wire
-from banyanshed.steering import models
-from banyanshed.steering import outages
-from banyanshed.steering import views
 from banyanshed.steering import waits as waits_lib
 
 RETRY_MIN_S = 0.2
-# So large a part of all entries does not leave at once in good order.
-MASS_LOSS_SHARE = 0.25
-
-
-class Applier:
-    """Decodes changed rows into the view and tells what changed."""
-
-    def __init__(
-        self,
-        view: views.View,
-        forget_server: Callable[[models.ServerId], None],
-        take_limits: Callable[[models.Configuration], None],
-        counters: metrics.Metrics,
-        waits: waits_lib.Waits,
-        clock: Callable[[], float],
-    ):
-        """Takes the view and what depends on it."""
-        self.view = view
-        self.forget_server = forget_server
-        self.take_limits = take_limits
-        self.counters = counters
-        self.waits = waits
-        self.clock = clock
-        self.outage = outages.Outage(waits)
-
-    def apply(
-        self,
-        mirror: mirrors.Mirror,
-        changed: Iterable[wire.Row],
-        source: str,
-        late_s: float = 0.0,
-    ) -> None:
-        """Takes the changed rows of a mirror.
-
-        Args:
-            mirror: The mirror, which has them already.
-            changed: The rows.
-            source: Who told them, for logs.
-            late_s: How long ago they may have been changed at most.
-        """
-        if mirror.table == wire.OPERATOR_TABLE:
-            self._apply_operator(mirror, changed, source)
-        else:
-            self._apply_servers(list(changed), source, late_s)
-            self.view.servers_known = True
-
-    def drop_missing(self) -> None:
-        """Drops servers whose entries did not come back."""
-        for server in self.view.drop_missing(self.clock()):
-            self._note_gone(server, "not_back")
-
-    def _apply_operator(
-        self, mirror: mirrors.Mirror, changed: Iterable[wire.Row], source: str
-    ) -> None:
-        for row in changed:
-            if row.key == wire.CONFIGURATION_KEY and row.value is not None:
-                self._apply_configuration(row, source)
-        prefix = wire.EVACUATION_PREFIX
-        zones = {
-            models.ZoneName(key[len(prefix) :])
-            for key in mirror.rows
-            if key.startswith(prefix)
-        }
-        begun, ended = self.view.set_evacuated(zones, self.clock())
-        for zone in begun:
-            logs.log_belief("evacuation_begun", zone=zone, source=source)
-        for zone in ended:
-            logs.log_belief("evacuation_ended", zone=zone, source=source)
-
-    def _apply_configuration(self, row: wire.Row, source: str) -> None:
-        assert row.value is not None
-        try:
-            configuration = wire.decode_configuration(row.value)
-        except wire.MalformedMessage as error:
-            logs.log_belief("configuration_unreadable", error=str(error))
-            return
-        if not self.view.accept_configuration(configuration):
-            return
-        self.take_limits(configuration)
-        logs.log_belief(
-            "configuration_in_force",
-            version=configuration.version,
-            routes=len(configuration.routes),
-            customers=len(configuration.customers),
-            row_version=row.version,
-            source=source,
-        )
-
-    def _apply_servers(
-        self, changed: list[wire.Row], source: str, late_s: float
-    ) -> None:
-        now = self.clock()
-        removed = sum(1 for row in changed if row.value is None)
-        keep_until = self.outage.kept_until(now)
-        reason = "store_lost" if self.outage.is_on else "store_returned"
-        mass_loss = max(2.0, MASS_LOSS_SHARE * len(self.view.servers))
-        if removed > mass_loss and not self.outage.is_on:
-            in_service = now + self.waits.kept_in_service_s(late_s)
-            if in_service > keep_until:
-                keep_until, reason = in_service, "many_removed"
-        for row in changed:
-            id_ = models.ServerId(row.key)
-            if row.value is None:
-                self._drop(id_, now, keep_until, reason, source)
-                continue
-            try:
-                entry = wire.decode_server(row.key, row.value)
-            except wire.MalformedMessage as error:
-                logs.log_belief(
-                    "server_entry_unreadable", server=id_, error=str(error)
-                )
-                self._drop(id_, now, now, "", source)
-                continue
-            self._put(entry, now, row.version, source)
-
-    def _put(
-        self,
-        entry: models.Registration,
-        now: float,
-        row_version: int,
-        source: str,
-    ) -> None:
-        known = self.view.servers.get(entry.id)
-        state = known.registration.state if known is not None else None
-        wall_ms = int(time.time() * 1000)
-        new = self.view.put_server(entry, now, wall_ms)
-        if new:
-            self.forget_server(entry.id)
-        if new or state is not entry.state:
-            logs.log_belief(
-                "server_known",
-                server=entry.id,
-                service=entry.service,
-                zone=entry.zone,
-                state=entry.state.value,
-                cold_left_s=entry.cold_left_s,
-                row_version=row_version,
-                source=source,
-            )
-
-    def _drop(
-        self,
-        id_: models.ServerId,
-        now: float,
-        keep_until: float,
-        reason: str,
-        source: str,
-    ) -> None:
-        if self.view.drop_server(id_, now, keep_until):
-            self._note_gone(id_, "entry_removed", source=source)
-            return
-        if id_ not in self.view.servers:
-            return
-        self.counters.count_kept_server(reason)
-        logs.log_belief(
-            "server_kept",
-            server=id_,
-            reason=reason,
-            kept_s=round(keep_until - now, 3),
-            since_return_s=self._since_return_s(now),
-            source=source,
-        )
-
-    def _since_return_s(self, now: float) -> float | None:
-        """Returns how long the store has been back; None when it is away."""
-        if self.outage.is_on or self.outage.failed_at == float("-inf"):
-            return None
-        return round(now - self.outage.returned_at, 3)
-
-    def _note_gone(
-        self, id_: models.ServerId, cause: str, **fields: str
-    ) -> None:
-        self.forget_server(id_)
-        self.counters.count_gone_server(cause)
-        logs.log_belief("server_gone", server=id_, cause=cause, **fields)
 
 
 class Feed:
@@ -207,7 +27,7 @@
         self,
         mirror: mirrors.Mirror,
         sources: sources_lib.Sources,
-        applier: Applier,
+        applier: appliers.Applier,
         counters: metrics.Metrics,
     ):
         """Takes the mirror to move on and what it is read from."""
@@ -276,7 +96,7 @@
         return bool(changed)
 
     def _waits(self) -> waits_lib.TableWaits:
-        return table_waits(self.applier.waits, self.mirror.table)
+        return self.applier.waits_of(self.mirror.table)
 
     def _count(self, source: sources_lib.Source, result: str) -> None:
         if source.is_store:
@@ -335,13 +155,6 @@
         )
 
 
-def table_waits(waits: waits_lib.Waits, table: str) -> waits_lib.TableWaits:
-    """Returns the waits on the way of a table's changes."""
-    if table == wire.OPERATOR_TABLE:
-        return waits.operators
-    return waits.servers
-
-
 def _vary(pause_s: float) -> float:
     """Returns a pause so varied that hosts do not call all at once."""
     variation = waits_lib.RETRY_VARIATION
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
+from banyanshed.gateway import appliers
 from banyanshed.gateway import beats
-from banyanshed.gateway import feeds
 from banyanshed.gateway import logs
 from banyanshed.gateway import mirrors
 from banyanshed.platform import wire
@@ -44,7 +44,7 @@
         fleet: members.Members,
         quotas: quotas_lib.Quotas,
         placing: placement.Placement,
-        applier: feeds.Applier,
+        applier: appliers.Applier,
         tables: dict[str, mirrors.Mirror],
         relays: relays_lib.Relays,
         port: int,
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from banyanshed import exceptions
+from banyanshed.gateway import appliers
 from banyanshed.gateway import clients
 from banyanshed.gateway import copies
 from banyanshed.gateway import feeds
@@ -117,7 +118,7 @@
             models.ClientLimits(),
             int(settings.memory_bytes * MEMORY_SHARE_FOR_BODIES),
         )
-        self.applier = feeds.Applier(
+        self.applier = appliers.Applier(
             self.view,
             self._forget_server,
             self._take_limits,
--- a/src/banyanshed/gateway/logs.py
+++ b/src/banyanshed/gateway/logs.py
@@ -13,33 +13,14 @@
 import eliot
 import msgspec
 
+from banyanshed.core import buckets
+
 MAX_BUFFERED_BYTES = 512 << 10
 ROUTINE_LINES_PER_S = 100.0
 OTHER_LINES_PER_S = 400.0
 BURST_S = 2.0
 
 
-class Rate:
-    """A token bucket of lines."""
-
-    def __init__(self, lines_per_s: float):
-        """Starts full."""
-        self.lines_per_s = lines_per_s
-        self.tokens = lines_per_s * BURST_S
-        self.at = time.monotonic()
-
-    def allow(self) -> bool:
-        """Takes a token if there is one."""
-        now = time.monotonic()
-        self.tokens += (now - self.at) * self.lines_per_s
-        self.tokens = min(self.tokens, self.lines_per_s * BURST_S)
-        self.at = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
 class Output:
     """Writes lines to a file descriptor without blocking."""
 
@@ -50,9 +31,9 @@
         self.buffer: collections.deque[bytes] = collections.deque()
         self.buffered_bytes = 0
         self.dropped = 0
-        self.routine = Rate(ROUTINE_LINES_PER_S)
-        self.other = Rate(OTHER_LINES_PER_S)
-        self.beliefs = Rate(OTHER_LINES_PER_S)
+        self.routine = _make_bucket(ROUTINE_LINES_PER_S)
+        self.other = _make_bucket(OTHER_LINES_PER_S)
+        self.beliefs = _make_bucket(OTHER_LINES_PER_S)
         self.host = ""
 
     def __call__(self, message: dict[str, Any]) -> None:
@@ -129,9 +110,18 @@
 
 
 def _log(
-    output: Output, rate: Rate, event: str, fields: dict[str, Any]
+    output: Output,
+    bucket: buckets.TokenBucket,
+    event: str,
+    fields: dict[str, Any],
 ) -> None:
-    if not rate.allow():
+    if not bucket.take(time.monotonic()):
         output.dropped += 1
         return
     eliot.log_message(message_type=event, **fields)
+
+
+def _make_bucket(lines_per_s: float) -> buckets.TokenBucket:
+    """Returns a full bucket of lines."""
+    burst = lines_per_s * BURST_S
+    return buckets.TokenBucket(lines_per_s, burst, burst, time.monotonic())
--- a/src/banyanshed/platform/settings.py
+++ b/src/banyanshed/platform/settings.py
@@ -6,6 +6,7 @@
 
 import yaml
 
+from banyanshed import addresses
 from banyanshed import exceptions
 from banyanshed.platform import durations
 from banyanshed.steering import budgets
@@ -76,10 +77,7 @@
     """
     if not isinstance(text, str):
         raise ValueError(f"an address is a text, not {text!r}")
-    ip, colon, port = text.rpartition(":")
-    if not colon or not ip or not port.isdigit():
-        raise ValueError(f"expected ADDRESS:PORT, not {text!r}")
-    return ip, int(port)
+    return addresses.parse(text)
 
 
 def decode(text: str) -> HostSettings:
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -4,6 +4,8 @@
 import json
 import os
 
+import pytest
+
 from banyanshed import cli
 from banyanshed import consoles
 from banyanshed import explanations
@@ -126,38 +128,34 @@
         os.close(writer)
 
 
-def test_successes_are_sampled_and_refusals_are_not():
-    reader, writer = os.pipe()
-    output = logs.start(writer, "h1")
-    try:
-        for _ in range(300):
-            logs.log_request("request", True)
-        dropped = output.dropped
-        assert dropped > 0
-        for _ in range(300):
-            logs.log_request("request", False)
-        assert output.dropped == dropped
-    finally:
-        logs.stop()
-        os.close(reader)
-        os.close(writer)
-
-
-def test_changes_of_belief_are_logged_while_many_requests_are_refused():
+@pytest.fixture(name="output")
+def start_output():
+    """Logs to a pipe that nobody reads."""
     reader, writer = os.pipe()
-    output = logs.start(writer, "h1")
-    try:
-        for _ in range(5000):
-            logs.log_request("request", False)
-        dropped = output.dropped
-        assert dropped > 0
-        for _ in range(100):
-            logs.log_belief("server_gone", server="i1")
-        assert output.dropped == dropped
-    finally:
-        logs.stop()
-        os.close(reader)
-        os.close(writer)
+    yield logs.start(writer, "h1")
+    logs.stop()
+    os.close(reader)
+    os.close(writer)
+
+
+def test_successes_are_sampled_and_refusals_are_not(output):
+    for _ in range(300):
+        logs.log_request("request", True)
+    dropped = output.dropped
+    assert dropped > 0
+    for _ in range(300):
+        logs.log_request("request", False)
+    assert output.dropped == dropped
+
+
+def test_changes_of_belief_are_logged_while_many_requests_are_refused(output):
+    for _ in range(5000):
+        logs.log_request("request", False)
+    dropped = output.dropped
+    assert dropped > 0
+    for _ in range(100):
+        logs.log_belief("server_gone", server="i1")
+    assert output.dropped == dropped
 
 
 def test_platform_settings_are_checked(tmp_path, capsys):
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from banyanshed.gateway import appliers
 from banyanshed.gateway import feeds
 from banyanshed.gateway import logs
 from banyanshed.gateway import metrics
@@ -21,7 +22,7 @@
         self.now = 100.0
         self.view = cases.make_view(now=90.0)
         self.forgotten = []
-        self.applier = feeds.Applier(
+        self.applier = appliers.Applier(
             self.view,
             self.forgotten.append,
             lambda _: None,
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from banyanshed import exceptions
+from banyanshed.gateway import appliers
 from banyanshed.gateway import feeds
 from banyanshed.gateway import metrics
 from banyanshed.gateway import mirrors
@@ -84,7 +85,7 @@
     def __init__(self, store):
         loop = asyncio.get_running_loop()
         self.view = cases.make_view(0)
-        self.applier = feeds.Applier(
+        self.applier = appliers.Applier(
             self.view,
             lambda _: None,
             lambda _: None,
@@ -123,6 +124,16 @@
         store.change(wire.SERVER_TABLE, "other", server_value("other", number))
 
 
+def start_following():
+    """Returns a store, a host that follows it, and the host's tasks."""
+    store = Store()
+    for number in range(8):
+        id_ = f"i{number}"
+        store.change(wire.SERVER_TABLE, id_, server_value(id_, number))
+    host = FollowingHost(store)
+    return store, host, host.start()
+
+
 async def sleep_until(at):
     loop = asyncio.get_running_loop()
     await asyncio.sleep(max(0.0, at - loop.time()))
@@ -134,12 +145,7 @@
     async def play(seed):
         rng = random.Random(seed)
         random.seed(seed)
-        store = Store()
-        for number in range(8):
-            id_ = f"i{number}"
-            store.change(wire.SERVER_TABLE, id_, server_value(id_, number))
-        host = FollowingHost(store)
-        tasks = host.start()
+        store, host, tasks = start_following()
         if busy:
             tasks.append(asyncio.ensure_future(change_often(store, rng)))
         cut_at = 10.0
@@ -169,12 +175,7 @@
     async def play(seed):
         rng = random.Random(seed)
         random.seed(seed)
-        store = Store()
-        for number in range(8):
-            id_ = f"i{number}"
-            store.change(wire.SERVER_TABLE, id_, server_value(id_, number))
-        host = FollowingHost(store)
-        tasks = host.start()
+        store, host, tasks = start_following()
         tasks.append(asyncio.ensure_future(change_often(store, rng)))
         await asyncio.sleep(10.0 + rng.random())
         leaving = {f"i{number}" for number in range(count)}
