Hold answers that callers do not read within the same limit

An answer that is complete was out of the count: it waits in the caller's connection, and a caller that reads nothing could send further requests and have their answers queued too, without any limit.

Change: a caller gets no further request served before it has read the last answer; what waits for callers counts with what comes from servers; a caller that reads nothing for the idle timeout is dropped.

--- a/src/banyanshed/gateway/clients.py
+++ b/src/banyanshed/gateway/clients.py
@@ -184,7 +184,7 @@
         if len(self.body) > MAX_RESPONSE_BYTES:
             self.give_up("response too long")
         elif self.answers is not None:
-            self.answers.take(self, len(data))
+            self.answers.take(self, len(data), self.loop.time())
 
     def _drop_body(self) -> None:
         self.body = bytearray()
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -104,11 +104,10 @@
             random.random,
         )
         self.router = routing.Router(self.view, self.quotas, random.random)
-        self.kept = pools.Pools(
-            memory.AnswerMemory(
-                int(settings.memory_bytes * MEMORY_SHARE_FOR_ANSWERS)
-            )
+        self.answers = memory.AnswerMemory(
+            int(settings.memory_bytes * MEMORY_SHARE_FOR_ANSWERS)
         )
+        self.kept = pools.Pools(self.answers)
         self.retries = budgets.RetryBudget(settings.retries)
         self.forwarder = forwarding.Forwarder(
             self.router, self.placing, self.retries, self.kept, self.counters
@@ -117,6 +116,7 @@
             self.forwarder.serve,
             models.ClientLimits(),
             int(settings.memory_bytes * MEMORY_SHARE_FOR_BODIES),
+            self.answers,
         )
         self.applier = appliers.Applier(
             self.view,
@@ -203,7 +203,10 @@
         stack: contextlib.AsyncExitStack,
     ) -> None:
         stage = listeners.Stage(
-            handler, models.ClientLimits(), self.stage.max_buffered_bytes
+            handler,
+            models.ClientLimits(),
+            self.stage.max_buffered_bytes,
+            self.answers,
         )
         await listeners.listen(address, stage, stack)
 
--- a/src/banyanshed/gateway/listeners.py
+++ b/src/banyanshed/gateway/listeners.py
@@ -8,6 +8,8 @@
 import h11
 
 from banyanshed.gateway import clients
+from banyanshed.gateway import logs
+from banyanshed.gateway import memory
 from banyanshed.gateway import messages
 from banyanshed.steering import models
 
@@ -33,11 +35,13 @@
         connections: All open connections.
         buffered_bytes: Bytes of request bodies held now.
         max_buffered_bytes: Bodies beyond this are refused.
+        answers: Limits what answers hold that callers have not read yet.
     """
 
     handler: Handler
     limits: models.ClientLimits
     max_buffered_bytes: int
+    answers: memory.AnswerMemory
     closing: bool = False
     connections: set["CallerConnection"] = dataclasses.field(
         default_factory=set
@@ -63,10 +67,13 @@
         self.idle_since = self.loop.time()
         self.receiving_since: float | None = None
         self.rejected = False
+        self.unread_since: float | None = None
 
     @property
     def is_idle(self) -> bool:
-        """No request is being received or served."""
+        """No request is being received or served, and no answer written."""
+        if self.unread_since is not None:
+            return False
         return self.task is None and self.receiving_since is None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -81,7 +88,7 @@
         if self.rejected:
             return
         self.http.receive_data(data)
-        if self.task is not None:
+        if self.task is not None or self.unread_since is not None:
             if len(self.http.trailing_data[0]) > MAX_PIPELINED_BYTES:
                 self.abort()
             return
@@ -95,9 +102,32 @@
             self.task.cancel()
         return False
 
+    def pause_writing(self) -> None:
+        """Serves no further request until the caller has read the answer."""
+        assert self.transport is not None
+        self.unread_since = self.loop.time()
+        unread = self.transport.get_write_buffer_size()
+        self.stage.answers.take(self, unread, self.unread_since)
+
+    def resume_writing(self) -> None:
+        """Goes on with the requests that came meanwhile."""
+        self.unread_since = None
+        self.idle_since = self.loop.time()
+        self.stage.answers.release(self)
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.task is None:
+            self._read_events()
+
+    def give_up(self, reason: str) -> None:
+        """Drops the connection of a caller that does not read its answer."""
+        logs.log_belief("answer_unread", reason=reason)
+        self.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the request that is being served."""
         self.stage.connections.discard(self)
+        self.stage.answers.release(self)
         self._release_body()
         if self.task is not None:
             self.task.cancel()
@@ -115,6 +145,10 @@
     def sweep(self, now: float) -> None:
         """Closes the connection when the caller takes too long."""
         limits = self.stage.limits
+        if self.unread_since is not None:
+            if now - self.unread_since > limits.idle_timeout_s:
+                self.give_up("the caller reads nothing")
+            return
         if self.task is not None or self.rejected:
             return
         if self.receiving_since is None:
@@ -129,6 +163,8 @@
             self._reject(408)
 
     def _read_events(self) -> None:
+        if self.receiving_since is None and self.http.trailing_data[0]:
+            self.receiving_since = self.loop.time()
         while self.task is None:
             try:
                 event = self.http.next_event()
@@ -196,9 +232,8 @@
             self.close()
             return
         self.http.start_next_cycle()
-        if self.http.trailing_data[0]:
-            self.receiving_since = self.idle_since
-        self._read_events()
+        if self.unread_since is None:
+            self._read_events()
 
     def _send(self, response: messages.Response) -> None:
         headers = list(response.headers)
--- a/src/banyanshed/gateway/memory.py
+++ b/src/banyanshed/gateway/memory.py
@@ -1,18 +1,33 @@
 """Memory that the answers of backend servers may take together.
 
 An answer is held whole until it is complete, and a server in trouble may send
-bytes without end. When all answers together hold too much, the one that holds
-most is given up: it is the most likely to have no end.
+bytes without end; then it is held until the caller has read it, and a caller
+may read nothing. When all answers together hold too much, one is given up that
+holds much and has for long: others pass soon.
 """
 
+import dataclasses
 from typing import Protocol
 
 
 class Holder(Protocol):
-    """Something that holds the bytes of an answer that is not complete."""
+    """Something that holds bytes of an answer on their way."""
 
     def give_up(self, reason: str) -> None:
-        """Drops the bytes; the answer will not be complete."""
+        """Drops the bytes; they will not arrive."""
+
+
+@dataclasses.dataclass(slots=True)
+class Held:
+    """What one holder holds.
+
+    Attributes:
+        size: Bytes.
+        since: When it began to hold any.
+    """
+
+    size: int
+    since: float
 
 
 class AnswerMemory:
@@ -20,25 +35,33 @@
 
     Attributes:
         max_bytes: What all of them may hold together.
-        held: Bytes by who holds them.
-        total: Their sum.
+        held: What each holds.
+        total: Sum of their bytes.
     """
 
     def __init__(self, max_bytes: int):
         """Starts with nothing held."""
         self.max_bytes = max_bytes
-        self.held: dict[Holder, int] = {}
+        self.held: dict[Holder, Held] = {}
         self.total = 0
 
-    def take(self, holder: Holder, size: int) -> None:
-        """Counts more bytes of an answer; the longest may be given up."""
-        self.held[holder] = self.held.get(holder, 0) + size
+    def take(self, holder: Holder, size: int, now: float) -> None:
+        """Counts more bytes of an answer; one may be given up for them."""
+        held = self.held.setdefault(holder, Held(0, now))
+        held.size += size
         self.total += size
         while self.total > self.max_bytes:
-            longest = max(self.held, key=lambda known: self.held[known])
-            self.release(longest)
-            longest.give_up("answers hold too much memory")
+            greatest = max(self.held, key=lambda h: self._burden(h, now))
+            self.release(greatest)
+            greatest.give_up("answers hold too much memory")
 
     def release(self, holder: Holder) -> None:
-        """Counts an answer as complete or dropped."""
-        self.total -= self.held.pop(holder, 0)
+        """Counts an answer as passed on or dropped."""
+        held = self.held.pop(holder, None)
+        if held is not None:
+            self.total -= held.size
+
+    def _burden(self, holder: Holder, now: float) -> tuple[float, int]:
+        """Returns what an answer takes from others: bytes times seconds."""
+        held = self.held[holder]
+        return held.size * (now - held.since), held.size
--- a/standins/store.py
+++ b/standins/store.py
@@ -8,6 +8,7 @@
 from urllib import parse
 
 from banyanshed.gateway import listeners
+from banyanshed.gateway import memory
 from banyanshed.gateway import messages
 from banyanshed.steering import models
 
@@ -51,7 +52,10 @@
         self.calls: list[str] = []
         self.changed = asyncio.Condition()
         self.stage = listeners.Stage(
-            self.serve, models.ClientLimits(), 64 << 20
+            self.serve,
+            models.ClientLimits(),
+            64 << 20,
+            memory.AnswerMemory(64 << 20),
         )
 
     async def put(self, table: str, key: str, value: object) -> int:
