Ask for changes at once after a whole table was read

Cause: since the pause after changes moved out of the feed's step it also followed a first reading of the table; a host asked a relay 0.15 s to 0.5 s later, with a version older than the relay's first, and had to read the whole table again. It also learned of servers that much later after a start.

Only news of a table that was known is followed by the pause. The new test fails without the change.

--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -49,7 +49,7 @@
         """Follows the table until cancelled."""
         while True:
             try:
-                changed = await self._step()
+                has_news = await self._step()
             except store_lib.HistoryLost:
                 self.must_read_all = True
                 self._count(self.source, "lost")
@@ -62,12 +62,12 @@
                 self.retry_s *= 2.0
                 self.retry_s = min(self.applier.waits.retry_max_s, self.retry_s)
             else:
-                if changed and self.source.is_store:
+                if has_news and self.source.is_store:
                     # Changes that follow each other are fetched together.
                     await asyncio.sleep(self._waits().spacing_s)
 
     async def _step(self) -> bool:
-        """Asks the source once; true when it told changes."""
+        """Asks the source once; true when it told changes to what was known."""
         mirror = self.mirror
         source = self.sources.choose(
             mirror.table, self.failures, self.applier.clock()
@@ -76,6 +76,7 @@
         if not source.is_store:
             mirror.set_follows_store(False)
         self.sent_at = self.applier.clock()
+        was_known = not self.must_read_all
         if self.must_read_all:
             page = await source.tables.read_table(mirror.table)
             self._note_answer("read")
@@ -93,7 +94,7 @@
         if changed or not self.applier.view.servers_known:
             late_s = self._waits().spacing_s
             self.applier.apply(mirror, changed, source.name, late_s)
-        return bool(changed)
+        return was_known and bool(changed)
 
     def _waits(self) -> waits_lib.TableWaits:
         return self.applier.waits_of(self.mirror.table)
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -189,3 +189,17 @@
 
     late = [seed for seed in range(100) if not virtual_time.run(play(seed))]
     assert not late
+
+
+def test_changes_are_asked_for_as_soon_as_a_table_was_read():
+    async def play():
+        store, host, tasks = start_following()
+        await asyncio.sleep(0.02)
+        assert host.view.servers
+        store.change(wire.SERVER_TABLE, "i9", server_value("i9", 9))
+        await asyncio.sleep(0.02)
+        for task in tasks:
+            task.cancel()
+        return "i9" in host.view.servers
+
+    assert virtual_time.run(play())
