--- a/src/banyanshed/core/leases.py
+++ b/src/banyanshed/core/leases.py
@@ -17,6 +17,7 @@
 from banyanshed.core import planning
 from banyanshed.core import sessions
 from banyanshed.core import shares
+from banyanshed.core import snapshots
 from banyanshed.core import spending
 from banyanshed.core import witnessing
 
@@ -101,8 +102,7 @@
         self.clock = sessions.StoreClock()
         self.witness = sessions.Witness(host, incarnation)
         self.phase = Phase.HOLDING
-        self.rows: dict[str, models.TableRow] = {}
-        self.parsed: dict[shares.LimitKey, tuple[models.TableRow, Any]] = {}
+        self.seen = snapshots.Snapshot()
         self.peers: tuple[models.HostId, ...] = ()
         self.pending: Pending | None = None
         self.fresh = False
@@ -225,30 +225,15 @@
         names = [own_key]
         if now_s >= self.next_sessions_s:
             self.next_sessions_s = now_s + SESSION_READ_S
-            seen = {grant.session for grant in self._grants()}
-            names = [sessions.session_key(name) for name in sorted(seen)]
+            holders = self._holders()
+            names = [sessions.session_key(name) for name in sorted(holders)]
             if own_key not in names:
                 names.append(own_key)
         return (*keys, *names)
 
-    def _grants(self) -> Iterable[Any]:
-        """Yields all grants of the rows last seen."""
-        for key, held in self.held.items():
-            share = self._share(key, held)
-            if share is not None:
-                yield from share.grants
-
-    def _share(self, key: shares.LimitKey, held: holdings.Held) -> Any:
-        """Returns a share as last seen, parsed once a version."""
-        row = self.rows.get(key)
-        if row is None:
-            return None
-        parsed = self.parsed.get(key)
-        if parsed is not None and parsed[0] is row:
-            return parsed[1]
-        share = shares.parse_share(held.limit, row.value)
-        self.parsed[key] = (row, share)
-        return share
+    def _holders(self) -> set[shares.SessionId]:
+        """Returns the sessions that have grants in the rows last seen."""
+        return self.seen.holders(held.limit for held in self.held.values())
 
     def _schedule(self, now_s: float) -> None:
         """Sets the time of the next read."""
@@ -260,19 +245,10 @@
 
     def _moment(self, now_s: float) -> shares.Moment:
         """Returns the store's time and the sessions known to have ended."""
-        closed: dict[shares.SessionId, float] = {}
-        prefix = len(sessions.SESSION_PREFIX)
-        for key, row in self.rows.items():
-            if not key.startswith(sessions.SESSION_PREFIX):
-                continue
-            session = sessions.parse_session(row.value)
-            name = shares.SessionId(key[prefix:])
-            if session is None and name != self.session:
-                closed[name] = -math.inf
-            elif session is not None and session.closed_s is not None:
-                closed[name] = session.closed_s
         return shares.Moment(
-            self.clock.earliest_s(now_s), self.clock.latest_s(now_s), closed
+            self.clock.earliest_s(now_s),
+            self.clock.latest_s(now_s),
+            self.seen.ended_sessions(self.session),
         )
 
     def _transaction(self, now_s: float) -> models.Transaction | None:
@@ -284,10 +260,10 @@
         writes: list[models.Write] = []
         for key in self._plan_keys():
             held = self.held[key]
-            row = self.rows.get(key)
+            row = self.seen.get(key)
             if row is None or row.version < held.uncertain_version:
                 continue
-            share = self._share(key, held)
+            share = self.seen.share(held.limit)
             returning = leaving or key in self.retiring
             if returning and not (share and self._own_grant(share)):
                 self._forget(key)
@@ -349,7 +325,7 @@
         """Yields the writes of session rows, this host's and ended ones."""
         own_key = sessions.session_key(self.session)
         if self.phase is Phase.RETURNING:
-            row = self.rows.get(own_key)
+            row = self.seen.get(own_key)
             gone = row is None or row.value is None
             if row is not None and not gone and self._returns_all(pending):
                 pending.conditions[own_key] = row.version
@@ -375,7 +351,7 @@
             if key in pending.plans:
                 share: Any = pending.plans[key].share
             else:
-                share = self._share(key, held)
+                share = self.seen.share(held.limit)
             if share is not None and self._own_grant(share):
                 return False
         return True
@@ -402,36 +378,22 @@
         self, now_s: float, moment: shares.Moment, pending: Pending
     ) -> Iterable[models.Write]:
         """Yields the writes that close or remove others' ended sessions."""
-        held_by = {grant.session for grant in self._grants()}
-        for key, row in list(self.rows.items()):
-            if not key.startswith(sessions.SESSION_PREFIX):
-                continue
-            name = shares.SessionId(key[len(sessions.SESSION_PREFIX) :])
-            session = sessions.parse_session(row.value)
-            if session is None or name == self.session:
-                if session is None and name not in held_by:
-                    del self.rows[key]
-                continue
-            value: dict[str, Any] | None = None
-            if session.closed_s is None:
-                lapsed_s = session.end_s + sessions.LEASE_MARGIN_S
-                lapsed = moment.earliest_s > lapsed_s
-                own = name.startswith(f"{self.host}/{self.incarnation}.")
-                if not (lapsed or own) and not self.witness.may_close(
-                    now_s, name, session
-                ):
-                    continue
-                value = dataclasses.asdict(
-                    dataclasses.replace(session, closed_s=moment.latest_s)
-                )
-            elif (
-                name in held_by
-                or moment.earliest_s
-                < session.closed_s + sessions.SESSION_KEEP_S
-            ):
-                continue
-            pending.conditions[key] = row.version
-            yield models.Write(key, value)
+
+        def may_close(
+            name: shares.SessionId, session: sessions.Session
+        ) -> bool:
+            lapsed_s = session.end_s + sessions.LEASE_MARGIN_S
+            if moment.earliest_s > lapsed_s:
+                return True
+            if name.startswith(f"{self.host}/{self.incarnation}."):
+                return True
+            return self.witness.may_close(now_s, name, session)
+
+        for row, write in self.seen.closing_writes(
+            self.session, self._holders(), moment, may_close
+        ):
+            pending.conditions[row.key] = row.version
+            yield write
 
     def on_page(self, now_s: float, page: models.TablePage) -> None:
         """Takes the answer to a read."""
@@ -450,11 +412,8 @@
         """Takes rows as stored, and this host's part of them."""
         own_key = sessions.session_key(self.session)
         for row in rows:
-            known = self.rows.get(row.key)
-            if known is not None and known.version > row.version:
+            if not self.seen.take(row):
                 continue
-            if known is None or known.version < row.version:
-                self.rows[row.key] = row
             held = self.held.get(shares.LimitKey(row.key))
             if held is not None:
                 self._adopt_share(now_s, held, row)
@@ -475,7 +434,7 @@
         """
         if held.uncertain and row.version <= held.uncertain_version:
             return
-        share = self._share(held.limit.key, held)
+        share = self.seen.share(held.limit)
         grant = None if share is None else self._own_grant(share)
         changed = bool(held.uncertain) or grant is None
         held.uncertain_version = 0
@@ -525,8 +484,7 @@
             row = models.TableRow(
                 key, commit.version, shares.share_value(plan.share)
             )
-            self.rows[key] = row
-            self.parsed[key] = (row, plan.share)
+            self.seen.put_share(row, plan.share)
         if pending.session is not None:
             self.uncertain_ends.clear()
             opened = self.session_version == 0
@@ -587,10 +545,10 @@
             return
         for key, plan in pending.plans.items():
             held = self.held.get(key)
-            row = self.rows.get(key)
+            row = self.seen.get(key)
             if held is None or row is None or held.uncertain:
                 continue
-            share = self._share(key, held)
+            share = self.seen.share(held.limit)
             grant = None if share is None else self._own_grant(share)
             holdings.adopt(held, now_s, grant)
             holdings.take_back(held, now_s, plan)
--- a/src/banyanshed/core/slots.py
+++ b/src/banyanshed/core/slots.py
@@ -39,11 +39,11 @@
         for names, held in holder.placements.items():
             service, region = names
             key = held.limit.key
-            row = holder.rows.get(key)
+            row = holder.seen.get(key)
             if row is None or self.versions.get(key) == row.version:
                 continue
             self.versions[key] = row.version
-            share = shares.parse_share(held.limit, row.value)
+            share = holder.seen.share(held.limit)
             if isinstance(share, shares.UnitShare):
                 units = units_by_host(share.grants)
                 yield PlacementUnits(
--- /dev/null
+++ b/src/banyanshed/core/snapshots.py
@@ -0,0 +1,125 @@
+"""Rows of shares and of sessions as one host last saw them."""
+
+from collections.abc import Callable, Iterable, Iterator
+import dataclasses
+import math
+from typing import Any
+
+from banyanshed.core import models
+from banyanshed.core import sessions
+from banyanshed.core import shares
+
+
+class Snapshot:
+    """The newest known version of each row.
+
+    Attributes:
+        rows: Rows by key.
+    """
+
+    def __init__(self) -> None:
+        """Starts without rows."""
+        self.rows: dict[str, models.TableRow] = {}
+        self._shares: dict[shares.LimitKey, tuple[models.TableRow, Any]] = {}
+
+    def get(self, key: str) -> models.TableRow | None:
+        """Returns a row, if it was seen."""
+        return self.rows.get(key)
+
+    def take(self, row: models.TableRow) -> bool:
+        """Takes a row as stored; false when a newer one is known."""
+        known = self.rows.get(row.key)
+        if known is not None and known.version > row.version:
+            return False
+        if known is None or known.version < row.version:
+            self.rows[row.key] = row
+        return True
+
+    def put_share(self, row: models.TableRow, share: Any) -> None:
+        """Takes the row of a share that this host has written."""
+        self.rows[row.key] = row
+        self._shares[shares.LimitKey(row.key)] = (row, share)
+
+    def share(self, limit: shares.Limit) -> Any:
+        """Returns a limit's share, parsed once a version; None if unseen."""
+        row = self.rows.get(limit.key)
+        if row is None:
+            return None
+        parsed = self._shares.get(limit.key)
+        if parsed is not None and parsed[0] is row:
+            return parsed[1]
+        share = shares.parse_share(limit, row.value)
+        self._shares[limit.key] = (row, share)
+        return share
+
+    def holders(self, limits: Iterable[shares.Limit]) -> set[shares.SessionId]:
+        """Returns the sessions that have a grant of any of the limits."""
+        found = set()
+        for limit in limits:
+            share = self.share(limit)
+            if share is None:
+                continue
+            for grant in share.grants:
+                found.add(grant.session)
+        return found
+
+    def ended_sessions(
+        self, own: shares.SessionId
+    ) -> dict[shares.SessionId, float]:
+        """Returns when sessions other than one's own have surely ended."""
+        ended: dict[shares.SessionId, float] = {}
+        for name, row in self._session_rows():
+            session = sessions.parse_session(row.value)
+            if session is None and name != own:
+                ended[name] = -math.inf
+            elif session is not None and session.closed_s is not None:
+                ended[name] = session.closed_s
+        return ended
+
+    def closing_writes(
+        self,
+        own: shares.SessionId,
+        holders: set[shares.SessionId],
+        moment: shares.Moment,
+        may_close: Callable[[shares.SessionId, sessions.Session], bool],
+    ) -> Iterator[tuple[models.TableRow, models.Write]]:
+        """Yields the writes that close or remove others' ended sessions.
+
+        Rows of sessions that are gone and hold nothing are forgotten.
+
+        Args:
+            own: This host's session.
+            holders: Sessions that have grants.
+            moment: The store's time.
+            may_close: Tells whether an open session has surely ended.
+
+        Yields:
+            The row as seen, and the write that replaces or removes it.
+        """
+        for name, row in list(self._session_rows()):
+            session = sessions.parse_session(row.value)
+            if session is None:
+                if name not in holders:
+                    del self.rows[row.key]
+                continue
+            if name == own:
+                continue
+            if session.closed_s is None:
+                if may_close(name, session):
+                    closed = dataclasses.replace(
+                        session, closed_s=moment.latest_s
+                    )
+                    value = dataclasses.asdict(closed)
+                    yield row, models.Write(row.key, value)
+                continue
+            removed_s = session.closed_s + sessions.SESSION_KEEP_S
+            if name not in holders and moment.earliest_s >= removed_s:
+                yield row, models.Write(row.key, None)
+
+    def _session_rows(
+        self,
+    ) -> Iterator[tuple[shares.SessionId, models.TableRow]]:
+        prefix = sessions.SESSION_PREFIX
+        for key, row in self.rows.items():
+            if key.startswith(prefix):
+                yield shares.SessionId(key[len(prefix) :]), row
