Log the rate limits that backend servers name

Change: the header is decoded in both spellings; a line for each change and for each malformed value, a counter. Nothing else reads the limit yet.

--- a/src/banyanshed/explanations.py
+++ b/src/banyanshed/explanations.py
@@ -20,6 +20,8 @@
         "server_gone",
         "server_kept",
         "server_known",
+        "server_limit",
+        "server_limit_malformed",
         "server_readmitted",
         "server_unreachable",
         "started",
--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from banyanshed.platform import headers as header_names
 from banyanshed.steering import budgets
 from banyanshed.steering import health
+from banyanshed.steering import limits as limits_lib
 from banyanshed.steering import models
 from banyanshed.steering import placement
 from banyanshed.steering import routing
@@ -24,6 +25,8 @@
 ANSWER_GRACE_S = 0.15
 MAX_CONNECT_FAILURES = 4
 DEFAULT_RETRY_AFTER_S = 0.3
+# Length up to which a malformed header is logged.
+MAX_LOGGED_VALUE_BYTES = 40
 # Statuses that tell a caller that the request has not run. Of a backend
 # server's responses, only 421 and those with the header NOT_RUN are taken so.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -121,6 +124,7 @@
         retries: budgets.RetryBudget,
         connection_pools: pools.ConnectionPools,
         counters: metrics.Metrics,
+        limits: limits_lib.ServerLimits,
     ):
         """Initializes the forwarder.
 
@@ -130,6 +134,7 @@
             retries: Budget of retries.
             connection_pools: Connections to backend servers.
             counters: Metrics to update.
+            limits: Rate limits named by backend servers.
         """
         self.router = router
         self.placing = placing
@@ -137,6 +142,8 @@
         self.retries = retries
         self.connection_pools = connection_pools
         self.counters = counters
+        self.limits = limits
+        self.malformed_limits: dict[models.ServerId, bytes] = {}
         self.loop = asyncio.get_running_loop()
 
     async def serve(self, request: messages.Request) -> messages.Response:
@@ -248,6 +255,8 @@
             response = await self._exchange(progress, plan, entry, connection)
             self.connection_pools.release(entry.id, connection)
             verdict = classify(response)
+            if verdict is not Verdict.MISDIRECTED:
+                self._observe_limit(entry, response)
             outcome = self._assess_response(progress, entry, verdict, response)
             if verdict is Verdict.FINAL:
                 self._record_success(plan, choice, started_at)
@@ -280,6 +289,45 @@
             )
         return None
 
+    def _observe_limit(
+        self, server: models.Registration, response: messages.Response
+    ) -> None:
+        """Records the rate limit that a server names, and logs changes."""
+        named = header_names.decode_server_limit(response.headers)
+        if named.malformed is not None:
+            self._log_malformed_limit(server, named.malformed)
+            if named.rate is None:
+                # Whether the known limit still holds can't be told.
+                return
+        change = self.limits.observe(server.id, named.rate)
+        if change is None:
+            return
+        self.counters.count_server_limit(describe_limit_change(change))
+        logs.log_event(
+            "server_limit",
+            server=server.id,
+            service=server.service,
+            change=describe_limit_change(change),
+            rate=change.rate,
+            previous=change.previous,
+        )
+
+    def _log_malformed_limit(
+        self, server: models.Registration, value: bytes
+    ) -> None:
+        self.counters.count_server_limit("malformed")
+        value = value[:MAX_LOGGED_VALUE_BYTES]
+        if self.malformed_limits.get(server.id) == value:
+            return
+        self.malformed_limits[server.id] = value
+        logs.log_event(
+            "server_limit_malformed",
+            server=server.id,
+            service=server.service,
+            value=value.decode("latin-1"),
+            rate=self.limits.rates.get(server.id),
+        )
+
     def _record_success(
         self, plan: routing.Plan, choice: placement.Choice, started_at: float
     ) -> None:
@@ -444,6 +492,15 @@
     )
 
 
+def describe_limit_change(change: limits_lib.LimitChange) -> str:
+    """Returns how a server's rate limit changed, as a stable word."""
+    if change.rate is None:
+        return "ended"
+    if change.previous is None:
+        return "named"
+    return "raised" if change.rate > change.previous else "lowered"
+
+
 def classify(response: messages.Response) -> Verdict:
     """Classifies a backend server's response."""
     if response.status == 421:
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -36,6 +36,7 @@
 from banyanshed.steering import budgets
 from banyanshed.steering import cold
 from banyanshed.steering import health
+from banyanshed.steering import limits
 from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import outliers
@@ -97,6 +98,7 @@
         response_memory: Limits the memory of buffered responses.
         connection_pools: Connections to backend servers.
         retries: Budget of retries.
+        limits: Rate limits named by backend servers.
         forwarder: Serves callers' requests.
         listener: State of the connections of callers.
         applier: Applies changes of the tables to the view.
@@ -149,12 +151,14 @@
         )
         self.connection_pools = pools.ConnectionPools(self.response_memory)
         self.retries = budgets.RetryBudget(settings.retries)
+        self.limits = limits.ServerLimits()
         self.forwarder = forwarding.Forwarder(
             self.router,
             self.placing,
             self.retries,
             self.connection_pools,
             self.counters,
+            self.limits,
         )
         self.listener = listeners.Listener(
             self.forwarder.serve,
@@ -365,6 +369,7 @@
     def _forget_server(self, server: models.ServerId) -> None:
         self.health.forget(server)
         self.placing.saturation.forget(server)
+        self.limits.forget(server)
         self.connection_pools.drop(server)
 
     def _set_limits(self, configuration: models.Configuration) -> None:
--- a/src/banyanshed/gateway/metrics.py
+++ b/src/banyanshed/gateway/metrics.py
@@ -51,6 +51,12 @@
             ("reason",),
             registry=self.registry,
         )
+        self.server_limits = prometheus_client.Counter(
+            "banyanshed_server_limits",
+            "Responses that changed a server's known rate limit, by change.",
+            ("change",),
+            registry=self.registry,
+        )
 
     def count_request(
         self,
@@ -82,6 +88,10 @@
         """Counts a backend server that was kept without its entry."""
         self.kept_servers.labels(reason).inc()
 
+    def count_server_limit(self, change: str) -> None:
+        """Counts a response that changed a backend server's rate limit."""
+        self.server_limits.labels(change).inc()
+
     def encode(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/banyanshed/platform/headers.py
+++ b/src/banyanshed/platform/headers.py
@@ -3,6 +3,11 @@
 Names are in lower case, as h11 returns them.
 """
 
+from collections.abc import Sequence
+import dataclasses
+import math
+import re
+
 from banyanshed.steering import models
 
 REQUEST_ID = b"x-banyanshed-request-id"
@@ -18,12 +23,56 @@
 NOT_RUN = b"x-banyanshed-not-executed"
 SERVER_LOAD = b"x-banyanshed-server-load"
 RETRY_AFTER = b"retry-after"
+# Requests per second that a backend server takes from all hosts together, in
+# both spellings that the platform uses.
+SERVER_LIMITS = frozenset({b"x-banyanshed-server-limit", b"server-limit"})
 
 # Headers set by the host or meant for it only. A caller's values are never
 # forwarded to backend servers.
 RESERVED = frozenset({DEADLINE_MS, API_KEY, CUSTOMER, EXPECTED_SERVER})
 
 
+_DECIMAL = re.compile(rb"\+?([0-9]+\.?[0-9]*|\.[0-9]+)")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLimit:
+    """The rate limit in a backend server's response.
+
+    Attributes:
+        rate: Requests per second from all hosts together, the least if there
+            are several; None if the response has no well-formed limit.
+        malformed: A value that can't be decoded; None if there is none.
+    """
+
+    rate: float | None = None
+    malformed: bytes | None = None
+
+
+def decode_server_limit(
+    headers: Sequence[tuple[bytes, bytes]],
+) -> ServerLimit:
+    """Decodes the rate limit in the headers of a response."""
+    rate, malformed = None, None
+    for name, value in headers:
+        if name not in SERVER_LIMITS:
+            continue
+        named = _decode_decimal(value)
+        if named is None:
+            malformed = value
+            continue
+        rate = named if rate is None else min(rate, named)
+    return ServerLimit(rate, malformed)
+
+
+def _decode_decimal(value: bytes) -> float | None:
+    if _DECIMAL.fullmatch(value.strip()) is None:
+        return None
+    number = float(value)
+    # Too many digits give infinity.
+    return number if math.isfinite(number) else None
+
+
 def decode_load(value: bytes) -> models.Load | None:
     """Decodes a load report; None when it is malformed."""
     try:
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,12 +1,9 @@
-import json
-import os
 import types
 
 import pytest
 
 from banyanshed.gateway import appliers
 from banyanshed.gateway import feeds
-from banyanshed.gateway import logs
 from banyanshed.gateway import metrics
 from banyanshed.gateway import mirrors
 from banyanshed.platform import wire
@@ -85,23 +82,6 @@
     assert not set(servers) & case.servers_at(102.2)
 
 
-@pytest.fixture(name="lines")
-def capture_lines():
-    """Returns a function that reads the new log lines."""
-    reader, writer = os.pipe()
-    os.set_blocking(reader, False)
-    logs.start(writer, "h1")
-
-    def read():
-        data = os.read(reader, 1 << 16)
-        return [json.loads(line) for line in data.splitlines()]
-
-    yield read
-    logs.stop()
-    os.close(reader)
-    os.close(writer)
-
-
 def test_logs_and_metrics_give_the_reason_a_server_was_kept(lines):
     case = Case()
     case.lose_store()
