--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -1,5 +1,7 @@
 """Rate limits that backend servers in need name in their responses."""
 
+import asyncio
+
 import pytest
 
 from banyanshed.platform import headers
@@ -78,3 +80,55 @@
         ("lowered", None, 10.0),
         ("ended", None, None),
     ]
+
+
+# The platform's rule: at most one and a half times the limit in this time, and
+# a few requests more, from half a second after the limit was named.
+WINDOW_S = 4.0
+EXCESS_FACTOR = 1.5
+EXCESS_REQUESTS = 5
+NOTICE_S = 0.5
+
+
+def most_in_window(arrivals):
+    """Returns the largest number of arrivals in any window."""
+    counts = [
+        sum(start <= at < start + WINDOW_S for at in arrivals)
+        for start in arrivals
+    ]
+    return max(counts, default=0)
+
+
+def allowed_in_window(rate):
+    return EXCESS_FACTOR * rate * WINDOW_S + EXCESS_REQUESTS
+
+
+def test_a_server_that_named_a_limit_is_not_flooded_by_all_hosts_together():
+    rate, hosts, load_s, interval_s = 2.0, 3, 6.0, 0.05
+    arrivals = []
+
+    async def scenario(fleet):
+        loop = asyncio.get_running_loop()
+
+        async def act(exchange):
+            arrivals.append(loop.time())
+            exchange.respond(Server_Limit=str(rate))
+
+        fleet.servers["i1"].action = act
+        started_at = loop.time()
+
+        async def send(name):
+            number = 0
+            while loop.time() < started_at + load_s:
+                number += 1
+                response = await fleet.call(
+                    name=name, x_banyanshed_affinity_key=str(number)
+                )
+                assert response.status == 200
+                await asyncio.sleep(interval_s)
+
+        await asyncio.gather(*(send(name) for name in fleet.hosts))
+
+    gateway_fleet.run_scenario(scenario, hosts=hosts)
+    later = [at for at in arrivals if at >= arrivals[0] + NOTICE_S]
+    assert most_in_window(later) <= allowed_in_window(rate)
