Divide the limit that a server names among the hosts

Cause: no host used the limit; each placed by load alone. Class: a limit of the whole fleet that no one divides. Change: hosts tell each other the limits with their age, and only the first hosts of a server's rendezvous order send, at an equal part each. Where a server is chosen a token is taken, so first and second attempts, probes and requests to cold servers count alike. Why it holds: the parts add up to the limit for all hosts with the same list of hosts, a host that fell silent keeps its part, and nobody starts with a token.

--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from banyanshed.gateway import clients
+from banyanshed.gateway import limits as limits_lib
 from banyanshed.gateway import logs
 from banyanshed.gateway import messages
 from banyanshed.gateway import metrics
@@ -13,7 +14,6 @@
 from banyanshed.platform import headers as header_names
 from banyanshed.steering import budgets
 from banyanshed.steering import health
-from banyanshed.steering import limits as limits_lib
 from banyanshed.steering import models
 from banyanshed.steering import placement
 from banyanshed.steering import routing
@@ -25,8 +25,6 @@
 ANSWER_GRACE_S = 0.15
 MAX_CONNECT_FAILURES = 4
 DEFAULT_RETRY_AFTER_S = 0.3
-# Length up to which a malformed header is logged.
-MAX_LOGGED_VALUE_BYTES = 40
 # Statuses that tell a caller that the request has not run. Of a backend
 # server's responses, only 421 and those with the header NOT_RUN are taken so.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -93,6 +91,7 @@
         trace: For each attempt the server, the outcome, its duration in
             milliseconds, and the load and warmth of the chosen server.
         inputs: Values that a rejection was based on.
+        skipped: Servers that were passed over because of their limit.
     """
 
     request: messages.Request
@@ -109,6 +108,7 @@
         default_factory=list
     )
     inputs: str = ""
+    skipped: set[models.ServerId] = dataclasses.field(default_factory=set)
 
 
 class Forwarder:
@@ -124,7 +124,7 @@
         retries: budgets.RetryBudget,
         connection_pools: pools.ConnectionPools,
         counters: metrics.Metrics,
-        limits: limits_lib.ServerLimits,
+        limits: limits_lib.LimitTracker,
     ):
         """Initializes the forwarder.
 
@@ -134,7 +134,7 @@
             retries: Budget of retries.
             connection_pools: Connections to backend servers.
             counters: Metrics to update.
-            limits: Rate limits named by backend servers.
+            limits: Learns the limits that backend servers name.
         """
         self.router = router
         self.placing = placing
@@ -143,7 +143,6 @@
         self.connection_pools = connection_pools
         self.counters = counters
         self.limits = limits
-        self.malformed_limits: dict[models.ServerId, bytes] = {}
         self.loop = asyncio.get_running_loop()
 
     async def serve(self, request: messages.Request) -> messages.Response:
@@ -214,6 +213,7 @@
         ):
             progress.reason = f"{progress.reason}, no retry budget"
             return None
+        progress.skipped.update(choice.skipped)
         return choice
 
     def _log_ejections(self) -> None:
@@ -244,10 +244,7 @@
             connection = await self.connection_pools.acquire(
                 entry, plan.route.idempotent, self.loop.time()
             )
-            if not self.placing.view.accepts_requests(choice.server):
-                # The server left while the connection was opened.
-                connection.abort()
-                progress.reason = "server_left"
+            if not self._may_send(progress, choice, connection):
                 return None
             progress.sent_count += 1
             progress.may_have_run_before = progress.may_have_run
@@ -256,7 +253,9 @@
             self.connection_pools.release(entry.id, connection)
             verdict = classify(response)
             if verdict is not Verdict.MISDIRECTED:
-                self._observe_limit(entry, response)
+                self.limits.observe_response(
+                    entry, response.headers, self.loop.time()
+                )
             outcome = self._assess_response(progress, entry, verdict, response)
             if verdict is Verdict.FINAL:
                 self._record_success(plan, choice, started_at)
@@ -289,44 +288,26 @@
             )
         return None
 
-    def _observe_limit(
-        self, server: models.Registration, response: messages.Response
-    ) -> None:
-        """Records the rate limit that a server names, and logs changes."""
-        named = header_names.decode_server_limit(response.headers)
-        if named.malformed is not None:
-            self._log_malformed_limit(server, named.malformed)
-            if named.rate is None:
-                # Whether the known limit still holds can't be told.
-                return
-        change = self.limits.observe(server.id, named.rate)
-        if change is None:
-            return
-        self.counters.count_server_limit(describe_limit_change(change))
-        logs.log_event(
-            "server_limit",
-            server=server.id,
-            service=server.service,
-            change=describe_limit_change(change),
-            rate=change.rate,
-            previous=change.previous,
-        )
+    def _may_send(
+        self,
+        progress: Progress,
+        choice: placement.Choice,
+        connection: clients.Connection,
+    ) -> bool:
+        """Returns whether the server may still get the request.
 
-    def _log_malformed_limit(
-        self, server: models.Registration, value: bytes
-    ) -> None:
-        self.counters.count_server_limit("malformed")
-        value = value[:MAX_LOGGED_VALUE_BYTES]
-        if self.malformed_limits.get(server.id) == value:
-            return
-        self.malformed_limits[server.id] = value
-        logs.log_event(
-            "server_limit_malformed",
-            server=server.id,
-            service=server.service,
-            value=value.decode("latin-1"),
-            rate=self.limits.rates.get(server.id),
-        )
+        It may have left, or named a limit, while the connection was opened.
+        """
+        server = choice.server
+        if not self.placing.view.accepts_requests(server):
+            connection.abort()
+            progress.reason = "server_left"
+            return False
+        if not self.placing.may_send(choice, self.loop.time()):
+            self.connection_pools.release(server.registration.id, connection)
+            progress.reason = "server_limited"
+            return False
+        return True
 
     def _record_success(
         self, plan: routing.Plan, choice: placement.Choice, started_at: float
@@ -437,6 +418,8 @@
             fields["object"] = affinity_key(progress.request, plan.route)
             fields["attempts"] = progress.trace
             fields["config_version"] = plan.config_version
+        if progress.skipped:
+            fields["limited"] = sorted(progress.skipped)
         if progress.inputs:
             fields["inputs"] = progress.inputs
         routine = ending is Ending.ANSWERED
@@ -492,15 +475,6 @@
     )
 
 
-def describe_limit_change(change: limits_lib.LimitChange) -> str:
-    """Returns how a server's rate limit changed, as a stable word."""
-    if change.rate is None:
-        return "ended"
-    if change.previous is None:
-        return "named"
-    return "raised" if change.rate > change.previous else "lowered"
-
-
 def classify(response: messages.Response) -> Verdict:
     """Classifies a backend server's response."""
     if response.status == 421:
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Mapping
 import contextlib
 import random
 from typing import cast
@@ -14,10 +15,12 @@
 import msgspec
 
 from banyanshed.gateway import appliers
+from banyanshed.gateway import limits as limits_lib
 from banyanshed.gateway import logs
 from banyanshed.gateway import mirrors
 from banyanshed.gateway import peer_messages
 from banyanshed.platform import wire
+from banyanshed.steering import limits as server_limits
 from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import placement
@@ -48,6 +51,7 @@
         applier: appliers.Applier,
         tables: dict[str, mirrors.Mirror],
         relays: relays_lib.Relays,
+        limit_tracker: limits_lib.LimitTracker,
         port: int,
         seeds: tuple[str, ...],
     ):
@@ -60,6 +64,7 @@
             applier: Holds the view and the delays of this host.
             tables: Mirrors by table name.
             relays: The relays of large fleets.
+            limit_tracker: Learns the limits that backend servers name.
             port: Port of the traffic between hosts, the same on every host.
             seeds: Addresses of hosts that may know others.
         """
@@ -67,6 +72,8 @@
         self.quotas = quotas
         self.placing = placing
         self.outliers = placing.health.outliers
+        self.limit_tracker = limit_tracker
+        self.limits = limit_tracker.limits
         self.relays = relays
         self.applier = applier
         self.mirrors = tables
@@ -110,6 +117,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S * random.uniform(0.8, 1.2))
             now = self.loop.time()
+            self.placing.throttle.record_run(now)
             self._update_live(now)
             self._send_due(now)
             self._send_digest(now)
@@ -122,7 +130,8 @@
         self.placing.was_busy = False
         pairs = self.placing.warmth.take_unsent(warmth.Audience.ALL)
         usages = peer_messages.encode_usages(self.quotas.report(now))
-        heartbeat = self._make_heartbeat(usages, pairs)
+        limits = self.limits.report(now)
+        heartbeat = self._make_heartbeat(usages, pairs, limits)
         receivers = self._receivers(self.fleet.contacts(now))
         silent = self.fleet.next_silent(now)
         if silent is not None:
@@ -157,9 +166,9 @@
             return
         self.near_sent_at = now
         pairs = self.placing.warmth.take_unsent(warmth.Audience.NEAR)
-        self._send_to(
-            near, peer_messages.encode(self._make_heartbeat([], pairs))
-        )
+        limits = self.limits.report_changes(now)
+        heartbeat = self._make_heartbeat([], pairs, limits)
+        self._send_to(near, peer_messages.encode(heartbeat))
         self.placing.was_busy = False
 
     def _receivers(
@@ -190,7 +199,9 @@
             self.mirrors[wire.SERVER_TABLE].changed_version,
             now,
         )
-        datagram = peer_messages.encode_digest(summary)
+        datagram = peer_messages.encode_digest(
+            summary, self.applier.view.servers
+        )
         for host in self.relays.partners(own_index, now):
             self._send(host.ip, datagram)
 
@@ -203,7 +214,10 @@
             self.transport.sendto(datagram, (ip, self.port))
 
     def _make_heartbeat(
-        self, usages: list[peer_messages.EncodedUsage], warm: list[int]
+        self,
+        usages: list[peer_messages.EncodedUsage],
+        warm: list[int],
+        limits: Mapping[models.ServerId, server_limits.LimitReport],
     ) -> peer_messages.Heartbeat:
         return peer_messages.Heartbeat(
             peer_messages.encode_host(self.fleet.own),
@@ -218,6 +232,7 @@
             peer_messages.encode_evidence(
                 self.outliers.report(self.loop.time())
             ),
+            peer_messages.encode_limits(limits, self.applier.view.servers),
         )
 
     def _handle_heartbeat(
@@ -241,6 +256,8 @@
         self.placing.set_peer_in_flight(host.id, work)
         evidence = self.server_index.decode_evidence(heartbeat.evidence)
         self.outliers.set_peer_report(host.id, evidence, now)
+        limits = self.server_index.decode_limits(heartbeat.limits)
+        self.limit_tracker.apply_reports(limits, host.id, now)
         self.placing.warmth.add_pairs(
             heartbeat.warm, now, forward=is_in_own_region
         )
@@ -254,6 +271,7 @@
     ) -> None:
         summary = self.server_index.decode_digest(digest)
         self.relays.apply_summary(summary, self.applier.view.configuration, now)
+        self.limit_tracker.apply_reports(summary.limits, summary.relay.id, now)
         if summary.relay.ip != sender:
             return
         # The digest came directly from the other region's relay, so this host
@@ -262,7 +280,9 @@
 
     def _reply_to_new_host(self, host: members.Host, now: float) -> None:
         """Sends a new host a heartbeat and, from a seed, the known hosts."""
-        self._send(host.ip, peer_messages.encode(self._make_heartbeat([], [])))
+        limits = self.limits.report_all(now)
+        heartbeat = self._make_heartbeat([], [], limits)
+        self._send(host.ip, peer_messages.encode(heartbeat))
         if not self._is_seed():
             return
         known = [
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -21,6 +21,7 @@
 from banyanshed.gateway import feeds
 from banyanshed.gateway import forwarding
 from banyanshed.gateway import gossip as gossip_lib
+from banyanshed.gateway import limits as limits_lib
 from banyanshed.gateway import listeners
 from banyanshed.gateway import logs
 from banyanshed.gateway import memory
@@ -36,7 +37,7 @@
 from banyanshed.steering import budgets
 from banyanshed.steering import cold
 from banyanshed.steering import health
-from banyanshed.steering import limits
+from banyanshed.steering import limits as server_limits
 from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import outliers
@@ -44,6 +45,7 @@
 from banyanshed.steering import quotas
 from banyanshed.steering import relays
 from banyanshed.steering import routing
+from banyanshed.steering import throttling
 from banyanshed.steering import views
 from banyanshed.steering import waits
 from banyanshed.steering import warmth
@@ -98,7 +100,7 @@
         response_memory: Limits the memory of buffered responses.
         connection_pools: Connections to backend servers.
         retries: Budget of retries.
-        limits: Rate limits named by backend servers.
+        limit_tracker: Learns the limits that backend servers name.
         forwarder: Serves callers' requests.
         listener: State of the connections of callers.
         applier: Applies changes of the tables to the view.
@@ -137,12 +139,21 @@
         cold_limiter = cold.ColdRateLimiter(
             settings.host, self.view, lambda: self.fleet.live_ids(clock())
         )
+        limits = server_limits.ServerLimits(self.view)
+        self.limit_tracker = limits_lib.LimitTracker(limits, self.counters)
+        throttle = throttling.ServerThrottle(
+            settings.host,
+            self.view,
+            limits,
+            lambda: self.fleet.sharing_hosts(clock()),
+        )
         self.placing = placement.Placement(
             settings.region,
             self.view,
             self.health,
             cold_limiter,
             warmth.Warmth(),
+            throttle,
             random.random,
         )
         self.router = routing.Router(self.view, self.quotas, random.random)
@@ -151,14 +162,13 @@
         )
         self.connection_pools = pools.ConnectionPools(self.response_memory)
         self.retries = budgets.RetryBudget(settings.retries)
-        self.limits = limits.ServerLimits()
         self.forwarder = forwarding.Forwarder(
             self.router,
             self.placing,
             self.retries,
             self.connection_pools,
             self.counters,
-            self.limits,
+            self.limit_tracker,
         )
         self.listener = listeners.Listener(
             self.forwarder.serve,
@@ -191,6 +201,7 @@
             self.applier,
             self.mirrors,
             self.relays,
+            self.limit_tracker,
             settings.peer_port,
             settings.seeds,
         )
@@ -314,6 +325,7 @@
             self.applier.drop_missing()
             now = self.loop.time()
             self.connection_pools.close_expired(now)
+            self.limit_tracker.drop_absent(now)
             self._update_state()
             # Contacts include hosts that recently fell silent and may go on
             # spending their share of the retry budget.
@@ -369,7 +381,6 @@
     def _forget_server(self, server: models.ServerId) -> None:
         self.health.forget(server)
         self.placing.saturation.forget(server)
-        self.limits.forget(server)
         self.connection_pools.drop(server)
 
     def _set_limits(self, configuration: models.Configuration) -> None:
@@ -431,6 +442,9 @@
                     "state": server.registration.state.value,
                     "load": round(self.placing.load_of(server), 2),
                     "cold": self.view.is_cold(server, now),
+                    "limit": self.limit_tracker.limits.rate(
+                        server.registration
+                    ),
                     "usable": self.health.is_usable(
                         id_, server.registration.service, now
                     ),
--- a/src/banyanshed/gateway/peer_messages.py
+++ b/src/banyanshed/gateway/peer_messages.py
@@ -4,22 +4,28 @@
 the receiver knows the id.
 """
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 import xxhash
 
 from banyanshed.gateway import mirrors
 from banyanshed.platform import wire
+from banyanshed.steering import limits as limits_lib
 from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import outliers
 from banyanshed.steering import quotas
 from banyanshed.steering import relays
+from banyanshed.steering import views
 
 RATE_SCALE = 10.0
 ATTEMPTS_SCALE = 10.0
 NO_RECOVERY = -1
+LIMIT_SCALE = 1000.0
+# Largest encoded rate, in requests per second.
+MAX_LIMIT = 1e9
+NO_LIMIT = -1
 
 
 class EncodedHost(msgspec.Struct, array_like=True, frozen=True):
@@ -62,6 +68,18 @@
     since_recovery_ms: int
 
 
+class EncodedLimit(msgspec.Struct, array_like=True, frozen=True):
+    """What a host knows of a server's rate limit.
+
+    The server's process is given by `hash_process`. The rate is in thousandths
+    of a request per second, or NO_LIMIT.
+    """
+
+    server: int
+    rate: int
+    age_ms: int
+
+
 class Heartbeat(msgspec.Struct, array_like=True, tag="b", frozen=True):
     """What a host reports about itself."""
 
@@ -73,6 +91,7 @@
     work: list[EncodedWork]
     warm: list[int]
     evidence: list[EncodedEvidence]
+    limits: list[EncodedLimit] = []
 
 
 class Contacts(msgspec.Struct, array_like=True, tag="c", frozen=True):
@@ -110,6 +129,7 @@
     work: list[EncodedWork]
     warm: list[int]
     evidence: list[EncodedEvidence]
+    limits: list[EncodedLimit] = []
 
 
 _MESSAGE = msgspec.msgpack.Decoder(Heartbeat | Contacts | Digest)
@@ -123,16 +143,21 @@
     def __init__(self) -> None:
         """Starts without servers."""
         self.by_hash: dict[int, models.ServerId] = {}
+        self.by_process: dict[int, models.ServerId] = {}
         self.version = -1
 
     def update(
-        self, servers: Collection[models.ServerId], version: int
+        self, servers: Mapping[models.ServerId, views.Server], version: int
     ) -> None:
         """Rebuilds the index if the version of the known servers changed."""
         if self.version == version:
             return
         self.version = version
         self.by_hash = {hash_server(server): server for server in servers}
+        self.by_process = {
+            hash_process(id_, server.registration.started_ms): id_
+            for id_, server in servers.items()
+        }
 
     def decode_work(
         self, entries: Sequence[EncodedWork]
@@ -164,6 +189,21 @@
             )
         return report
 
+    def decode_limits(
+        self, entries: Sequence[EncodedLimit]
+    ) -> dict[models.ServerId, limits_lib.LimitReport]:
+        """Returns reports of limits by server, without unknown processes."""
+        reports = {}
+        for entry in entries:
+            server = self.by_process.get(entry.server)
+            if server is None or entry.rate < NO_LIMIT:
+                continue
+            rate = None if entry.rate == NO_LIMIT else entry.rate / LIMIT_SCALE
+            reports[server] = limits_lib.LimitReport(
+                rate, entry.age_ms / 1000.0
+            )
+        return reports
+
     def decode_digest(self, digest: Digest) -> relays.Summary:
         """Decodes a digest into a region's summary."""
         states = dict.fromkeys(digest.ready, members.HostState.READY)
@@ -179,6 +219,7 @@
             self.decode_work(digest.work),
             digest.warm,
             self.decode_evidence(digest.evidence),
+            self.decode_limits(digest.limits),
         )
 
 
@@ -219,7 +260,9 @@
     return wire.Page(rows, entry.version, False)
 
 
-def encode_digest(summary: relays.Summary) -> bytes:
+def encode_digest(
+    summary: relays.Summary, servers: Mapping[models.ServerId, views.Server]
+) -> bytes:
     """Encodes a region's summary as a digest."""
     by_state: dict[members.HostState, list[int]] = {
         state: [] for state in members.HostState
@@ -239,6 +282,7 @@
             encode_work(summary.in_flight),
             list(summary.warm_pairs),
             encode_evidence(summary.evidence),
+            encode_limits(summary.limits, servers),
         )
     )
 
@@ -271,6 +315,24 @@
     return entries
 
 
+def encode_limits(
+    reports: Mapping[models.ServerId, limits_lib.LimitReport],
+    servers: Mapping[models.ServerId, views.Server],
+) -> list[EncodedLimit]:
+    """Encodes reports of limits, without those of servers that are gone."""
+    entries = []
+    for id_, report in reports.items():
+        server = servers.get(id_)
+        if server is None:
+            continue
+        rate = NO_LIMIT
+        if report.rate is not None:
+            rate = round(min(report.rate, MAX_LIMIT) * LIMIT_SCALE)
+        process = hash_process(id_, server.registration.started_ms)
+        entries.append(EncodedLimit(process, rate, round(report.age_s * 1000)))
+    return entries
+
+
 def encode_usages(usages: Sequence[quotas.Usage]) -> list[EncodedUsage]:
     """Encodes customers' counters."""
     return [
@@ -310,6 +372,11 @@
     )
 
 
+def hash_process(server: models.ServerId, started_ms: int) -> int:
+    """Returns the hash that stands for one process of a server."""
+    return xxhash.xxh32_intdigest(f"{server}\0{started_ms}".encode())
+
+
 def hash_server(server: models.ServerId) -> int:
     """Returns the hash that replaces a server's id in datagrams."""
     return xxhash.xxh32_intdigest(server.encode())
--- a/src/banyanshed/lab/model.py
+++ b/src/banyanshed/lab/model.py
@@ -17,9 +17,11 @@
 from banyanshed.lab import servers as servers_lib
 from banyanshed.steering import cold
 from banyanshed.steering import health
+from banyanshed.steering import limits
 from banyanshed.steering import models
 from banyanshed.steering import outliers
 from banyanshed.steering import placement
+from banyanshed.steering import throttling
 from banyanshed.steering import views
 from banyanshed.steering import warmth
 
@@ -62,6 +64,12 @@
             health.Health(outliers.Outliers(self.id, lambda: hosts)),
             cold.ColdRateLimiter(self.id, view, lambda: hosts),
             warmth.Warmth(),
+            throttling.ServerThrottle(
+                self.id,
+                view,
+                limits.ServerLimits(view),
+                lambda: dict.fromkeys(hosts, self.region),
+            ),
             rng.random,
         )
         self.chooser = policies.Chooser(variant.policy, self.placement, rng)
--- a/src/banyanshed/steering/locality.py
+++ b/src/banyanshed/steering/locality.py
@@ -5,9 +5,11 @@
 that all hosts share, so that hosts of a region agree without coordination.
 """
 
-from collections.abc import Mapping
+import collections
+from collections.abc import Iterable, Mapping
 
 from banyanshed.steering import models
+from banyanshed.steering import views
 
 # Largest share of a region's requests that goes to its own servers.
 MAX_LOCAL_SHARE = 0.97
@@ -57,3 +59,26 @@
     for name, amount in spare.items():
         weights[name] = remote_weight * amount / capacity_share[name]
     return weights
+
+
+def compute_zone_weights(
+    servers: Iterable[views.Server],
+    zones: Mapping[models.ZoneName, models.RegionName],
+    region: models.RegionName,
+) -> dict[models.ZoneName, float]:
+    """Returns the weight of a slot in each zone for one region's requests.
+
+    Args:
+        servers: All servers of a service.
+        zones: Region of each availability zone.
+        region: Region whose requests are placed.
+    """
+    capacity: dict[models.RegionName, float] = {}
+    for server in servers:
+        held_in = zones.get(server.registration.zone)
+        if held_in is not None:
+            slots = max(1, server.registration.slots)
+            capacity[held_in] = capacity.get(held_in, 0.0) + slots
+    demand = collections.Counter(zones.values())
+    weights = compute_weights(capacity, demand, region)
+    return {zone: weights.get(name, 1.0) for zone, name in zones.items()}
--- a/src/banyanshed/steering/members.py
+++ b/src/banyanshed/steering/members.py
@@ -175,6 +175,24 @@
             m for m in self.peers.values() if _age_s(m, now) < CONTACT_TIMEOUT_S
         ]
 
+    def sharing_hosts(
+        self, now: float
+    ) -> dict[models.HostId, models.RegionName]:
+        """Returns the hosts that divide a limit, with their regions.
+
+        A host that is leaving has given up its part. A host that fell silent
+        keeps it while messages are sent to it, as it may still be running.
+        """
+        hosts = {}
+        if self.own_state is not HostState.LEAVING:
+            hosts[self.own.id] = self.own_region
+        for member in self.contacts(now):
+            region = self.zones.get(member.host.zone)
+            if region is None or member.state is HostState.LEAVING:
+                continue
+            hosts[member.host.id] = region
+        return hosts
+
     def next_silent(self, now: float) -> Member | None:
         """Returns one of the long silent peers, in rotation; None if none.
 
--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -15,18 +15,16 @@
 until none of the requested objects is warm.
 """
 
-import collections
 from collections.abc import Callable, Collection, Mapping
 import dataclasses
-import math
-
-import xxhash
 
 from banyanshed.steering import cold
 from banyanshed.steering import health as health_lib
 from banyanshed.steering import locality
 from banyanshed.steering import models
+from banyanshed.steering import rendezvous
 from banyanshed.steering import saturation as saturation_lib
+from banyanshed.steering import throttling
 from banyanshed.steering import views
 from banyanshed.steering import warmth as warmth_lib
 
@@ -62,7 +60,6 @@
 MAX_CACHED_ORDERS = 4096
 # Number of rendezvous orders over which requests without an object spread.
 SPREAD_ORDERS = 256
-_HASH_SPACE = float(1 << 64)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +112,10 @@
         load: Requests of all hosts in flight at the server, per slot.
         expected_s: Expected seconds to the answer, including time in the
             server's queue.
+        token_taken_at: When a token of the server's limit was taken; None if
+            the server named no limit.
+        skipped: Servers before it in the object's order that have a limit and
+            no token.
     """
 
     server: views.Server
@@ -122,6 +123,23 @@
     warm: bool
     load: float
     expected_s: float
+    token_taken_at: float | None = None
+    skipped: tuple[models.ServerId, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Found:
+    """The servers that may serve a request, in its object's order.
+
+    Attributes:
+        choices: Servers that may be used at once.
+        cold: Cold servers, whose rate is limited.
+        limited: Servers that named a limit and have no token on this host.
+    """
+
+    choices: list[Choice]
+    cold: list[views.Server]
+    limited: list[views.Server]
 
 
 class Placement:
@@ -137,6 +155,7 @@
         health: health_lib.Health,
         cold_limiter: cold.ColdRateLimiter,
         warmth: warmth_lib.Warmth,
+        throttle: throttling.ServerThrottle,
         random: Callable[[], float],
     ):
         """Sets up the placement without any reports of peers.
@@ -147,6 +166,7 @@
             health: Health of the servers.
             cold_limiter: Rate limit for cold servers.
             warmth: Warm objects and expected service times.
+            throttle: Rate limit for servers that name one.
             random: Returns random numbers from 0 up to 1.
         """
         self.region = region
@@ -154,6 +174,7 @@
         self.health = health
         self.cold_limiter = cold_limiter
         self.warmth = warmth
+        self.throttle = throttle
         self.random = random
         self.peer_in_flight: dict[
             models.HostId, dict[models.ServerId, int]
@@ -191,33 +212,64 @@
     ) -> Choice | Rejection:
         """Returns the server for a request, or the reason for its rejection."""
         self._update_health(now)
-        candidates, cold_servers = self._find_candidates(request, now)
-        chosen = self._choose_best(candidates, request.route.objective_s)
+        found = self._find_candidates(request, now)
+        chosen = self._choose_best(found.choices, request.route.objective_s)
         share = FINISH_SHARE * (1.0 - PRIORITY_STEP * min(request.priority, 5))
         limit_s = request.remaining_s * share
         if chosen is not None:
             self.was_busy |= chosen.load >= BUSY_LOAD
             if self._should_admit(chosen, request, limit_s, now):
-                return chosen
-        for server in cold_servers:
+                return self._accept(chosen, found, now)
+        for server in found.cold:
             if self.cold_limiter.admit(server, now):
-                return self._estimate(request, server, now)
+                choice = self._estimate(request, server, now)
+                return self._accept(choice, found, now)
         if chosen is None:
-            reason = "servers_cold" if cold_servers else "no_server"
-            known = len(self.view.by_service.get(request.service, ()))
-            inputs = f"known={known} cold={len(cold_servers)}"
-            return Rejection(reason, MAX_RETRY_AFTER_S / 4.0, inputs)
-        wait_s = chosen.expected_s - limit_s
-        wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+            return self._reject_without_candidate(request, found, now)
+        wait_s = _clamp_retry_after(chosen.expected_s - limit_s)
         best = chosen.server.registration.id
         inputs = (
             f"best={best} load={chosen.load:.2f} warm={chosen.warm}"
             f" saturated={self.saturation.is_saturated(best)}"
             f" expected_ms={chosen.expected_s * 1000:.0f}"
             f" left_ms={request.remaining_s * 1000:.0f}"
+            f" limited={len(found.limited)}"
         )
         return Rejection("overloaded", wait_s, inputs)
 
+    def may_send(self, choice: Choice, now: float) -> bool:
+        """Returns whether a chosen server may still get the request."""
+        server = choice.server
+        return self.throttle.is_valid(server, choice.token_taken_at, now)
+
+    def _accept(self, choice: Choice, found: _Found, now: float) -> Choice:
+        """Takes a token of the chosen server's limit, if it has one."""
+        taken = self.throttle.take(choice.server)
+        skipped = tuple(server.registration.id for server in found.limited)
+        if not taken and not skipped:
+            return choice
+        return dataclasses.replace(
+            choice, token_taken_at=now if taken else None, skipped=skipped
+        )
+
+    def _reject_without_candidate(
+        self, request: PlacementRequest, found: _Found, now: float
+    ) -> Rejection:
+        """Returns the rejection when no server but cold ones may be used."""
+        known = len(self.view.by_service.get(request.service, ()))
+        inputs = (
+            f"known={known} cold={len(found.cold)} limited={len(found.limited)}"
+        )
+        if found.limited:
+            wait_s = min(
+                self.throttle.retry_after_s(server, now)
+                for server in found.limited
+            )
+            wait_s = _clamp_retry_after(wait_s)
+            return Rejection("servers_limited", wait_s, inputs)
+        reason = "servers_cold" if found.cold else "no_server"
+        return Rejection(reason, MAX_RETRY_AFTER_S / 4.0, inputs)
+
     def _update_health(self, now: float) -> None:
         self.health.count_slow_attempts(now)
         self.health.outliers.update_ejections(self.view.by_service, now)
@@ -261,25 +313,25 @@
             return True
         return self.random() < LEARN_SHARE
 
-    def _find_candidates(
-        self, request: PlacementRequest, now: float
-    ) -> tuple[list[Choice], list[views.Server]]:
-        """Returns usable servers in the object's order, and the cold ones."""
-        candidates: list[Choice] = []
-        cold_servers = []
+    def _find_candidates(self, request: PlacementRequest, now: float) -> _Found:
+        """Returns the servers that may serve a request, in its order."""
+        found = _Found([], [], [])
         for server in self._order_for(request):
-            if len(candidates) >= MAX_CANDIDATES:
+            if len(found.choices) >= MAX_CANDIDATES:
                 break
             if not self._may_serve(server, request, now):
                 continue
+            if not self.throttle.has_token(server, now):
+                found.limited.append(server)
+                continue
             if self.view.is_cold(server, now):
-                cold_servers.append(server)
+                found.cold.append(server)
                 continue
             choice = self._estimate(request, server, now)
-            candidates.append(choice)
+            found.choices.append(choice)
             if choice.warm and choice.load < FULL_LOAD:
                 break
-        return candidates, cold_servers
+        return found
 
     def estimate_all(
         self, request: PlacementRequest, now: float
@@ -362,23 +414,6 @@
             return False
         return self.health.is_usable(entry.id, entry.service, now)
 
-    def _compute_weights(
-        self, service: models.ServiceName
-    ) -> dict[models.ZoneName, float]:
-        """Returns the locality weight of a slot in each availability zone."""
-        zones = self.view.zones
-        capacity: dict[models.RegionName, float] = {}
-        for server in self.view.by_service.get(service, ()):
-            region = zones.get(server.registration.zone)
-            if region is not None:
-                slots = max(1, server.registration.slots)
-                capacity[region] = capacity.get(region, 0.0) + slots
-        demand = collections.Counter(zones.values())
-        weights = locality.compute_weights(capacity, demand, self.region)
-        return {
-            zone: weights.get(region, 1.0) for zone, region in zones.items()
-        }
-
     def _order_for(self, request: PlacementRequest) -> list[views.Server]:
         """Returns the servers for a request, in the order to try them."""
         key = request.object_key
@@ -401,7 +436,11 @@
             self.orders.clear()
         weights = self.weights.get(service)
         if weights is None:
-            weights = self._compute_weights(service)
+            weights = locality.compute_zone_weights(
+                self.view.by_service.get(service, ()),
+                self.view.zones,
+                self.region,
+            )
             self.weights[service] = weights
         order = sorted(
             self.view.by_service.get(service, []),
@@ -411,6 +450,10 @@
         return order
 
 
+def _clamp_retry_after(wait_s: float) -> float:
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+
 def _rendezvous_score(
     object_key: str,
     server: views.Server,
@@ -418,6 +461,5 @@
 ) -> float:
     """Returns the sort key of a server in an object's rendezvous order."""
     entry = server.registration
-    digest = xxhash.xxh3_64_intdigest(f"{object_key}\0{entry.id}".encode())
     weight = max(1, entry.slots) * weights.get(entry.zone, 1.0)
-    return -math.log((digest + 1.0) / (_HASH_SPACE + 2.0)) / weight
+    return rendezvous.weighted_rank(object_key, entry.id, weight)
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -13,6 +13,7 @@
 
 import xxhash
 
+from banyanshed.steering import limits as limits_lib
 from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import outliers
@@ -49,6 +50,7 @@
         in_flight: Number of requests in flight, by server.
         warm_pairs: Hashes of object and server that became warm.
         evidence: Combined evidence on suspected servers.
+        limits: Rate limits of servers known to the relay.
     """
 
     relay: members.Host
@@ -60,6 +62,7 @@
     in_flight: Mapping[models.ServerId, int]
     warm_pairs: Sequence[int]
     evidence: Mapping[models.ServerId, outliers.Evidence]
+    limits: Mapping[models.ServerId, limits_lib.LimitReport]
 
 
 class Relays:
@@ -163,6 +166,7 @@
             in_flight,
             self.placing.warmth.take_unsent(warmth.Audience.FAR),
             self.placing.health.outliers.aggregate_report(ids, now),
+            self.placing.throttle.limits.report_all(now),
         )
 
     def apply_summary(
--- a/src/banyanshed/steering/rendezvous.py
+++ b/src/banyanshed/steering/rendezvous.py
@@ -4,15 +4,23 @@
 """
 
 from collections.abc import Iterable
+import math
 
 import xxhash
 
+_HASH_SPACE = float(1 << 64)
+
 
 def rank(key: str, member: str) -> int:
     """Returns the sort key of a member in the rendezvous order for a key."""
     return xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode())
 
 
+def weighted_rank(key: str, member: str, weight: float) -> float:
+    """Returns a rank by which members come first in proportion to a weight."""
+    return -math.log((rank(key, member) + 1.0) / (_HASH_SPACE + 2.0)) / weight
+
+
 def is_among_first(
     key: str, own: str, others: Iterable[str], count: int
 ) -> bool:
--- a/tests/steering_cases.py
+++ b/tests/steering_cases.py
@@ -2,9 +2,11 @@
 
 from banyanshed.steering import cold
 from banyanshed.steering import health
+from banyanshed.steering import limits
 from banyanshed.steering import models
 from banyanshed.steering import outliers
 from banyanshed.steering import placement
+from banyanshed.steering import throttling
 from banyanshed.steering import views
 from banyanshed.steering import warmth
 
@@ -47,7 +49,15 @@
     return view
 
 
-def make_placement(view, hosts=("h1",), own="h1", region="a"):
+def make_placement(
+    view, hosts=("h1",), own="h1", region="a", sharing_hosts=None
+):
+    throttle = throttling.ServerThrottle(
+        own,
+        view,
+        limits.ServerLimits(view),
+        sharing_hosts or (lambda: dict.fromkeys(hosts, region)),
+    )
     cold_limiter = cold.ColdRateLimiter(own, view, lambda: hosts)
     return placement.Placement(
         region,
@@ -55,5 +65,6 @@
         health.Health(outliers.Outliers(own, lambda: hosts)),
         cold_limiter,
         warmth.Warmth(),
+        throttle,
         lambda: 0.5,
     )
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -18,15 +18,27 @@
 
 
 class Host:
-    def __init__(self, number, ids, view):
+    def __init__(self, number, ids, view, started_ms=1):
         zones = list(ZONES)
+        self.number = number
         self.identity = members.Host(
-            f"h{number}", f"10.0.0.{number}", zones[number % len(zones)], 1
+            f"h{number}",
+            f"10.0.0.{number}",
+            zones[number % len(zones)],
+            started_ms,
         )
         self.fleet = members.Members(self.identity, dict(ZONES))
         self.fleet.own_state = members.HostState.READY
         self.quotas = quotas_lib.Quotas()
-        self.placing = cases.make_placement(view, ids, self.identity.id)
+        self.now = 0.0
+        self.placing = cases.make_placement(
+            view,
+            ids,
+            self.identity.id,
+            ZONES[self.identity.zone],
+            lambda: self.fleet.sharing_hosts(self.now),
+        )
+        self.limits = self.placing.throttle.limits
         self.outliers = self.placing.health.outliers
         self.relays = relays.Relays(self.fleet, self.quotas, self.placing)
         self.region = ZONES[self.identity.zone]
@@ -56,12 +68,18 @@
         usages = sender.quotas.report(now)
         work = dict(sender.placing.health.in_flight_by_server())
         evidence = sender.outliers.report(now)
+        limits = sender.limits.report(now)
         for host in self.up():
             if host is sender or host.region != sender.region:
                 continue
+            known = host.fleet.peers.get(sender.identity.id)
             host.fleet.record_state(
-                sender.identity, members.HostState.READY, now
+                sender.identity, sender.fleet.own_state, now
             )
+            if known is None or known.host != sender.identity:
+                reply = host.limits.report_all(now)
+                sender.limits.apply_reports(reply, now)
+            host.limits.apply_reports(limits, now)
             host.placing.set_peer_in_flight(sender.identity.id, work)
             host.outliers.set_peer_report(sender.identity.id, evidence, now)
             host.quotas.apply_reports(
@@ -80,6 +98,7 @@
                 continue
             for host in self.up():
                 if host.region == receiver.region:
+                    host.limits.apply_reports(summary.limits, now)
                     configuration = self.view.configuration
                     host.relays.apply_summary(summary, configuration, now)
 
@@ -93,6 +112,8 @@
         now = start
         while now < end:
             for host in self.up():
+                host.now = now
+                host.placing.throttle.record_run(now)
                 on_step(host, now)
                 urgent = host.quotas.needs_report(len(self.hosts), now)
                 if now >= beat_at[host] or urgent:
