Let servers name limits in the soak

Cause: no test with real processes and faults had a server with a limit. Change: one or two servers of a run name 0.5, 2 or 8 requests a second; an invariant counts what they get from hosts that passed the limit on. Drawn by a generator of its own, so that the faults of a seed stay the same.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -42,6 +42,7 @@
         self.id = id_
         self.slow_factor = 1.0
         self.failing_share = 0.0
+        self.limit = None
         self.backend = servers_lib.BackendServer(id_, self._answer)
         self.proxy = None
 
@@ -90,7 +91,10 @@
         execution.body = (
             f"{execution.id} by {self.id} ".encode() * cluster.rng.randint(1, 9)
         )
-        exchange.respond(200, execution.body)
+        extra = {}
+        if self.limit is not None:
+            extra["Server-Limit"] = f"{self.limit:g}"
+        exchange.respond(200, execution.body, **extra)
 
 
 class Host:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,9 @@
 from tests.soak import records as records_lib
 
 MIN_SERVERS = 4
+LIMITS = (0.5, 2.0, 8.0)
+# A server names its limit for longer than hosts may take to keep it.
+MIN_LIMIT_S = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +44,16 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def draw_limits(rng, length_s):
+    """Returns the moments at which servers begin to name limits."""
+    limits = []
+    for _ in range(rng.randint(1, 2)):
+        at = rng.uniform(0.5, length_s)
+        for_s = MIN_LIMIT_S + rng.uniform(0.0, 4.0)
+        limits.append(Fault(at, "limit_server", for_s))
+    return limits
+
+
 class FaultInjector:
     """Applies scheduled faults to a cluster."""
 
@@ -173,6 +186,20 @@
         server.failing_share = 0.0
         self._record_interval("failing", server.id, start)
 
+    async def limit_server(self, for_s):
+        server = self.rng.choice(list(self.cluster.servers.values()))
+        if server.limit is not None:
+            return
+        start = self.cluster.now()
+        rate = self.rng.choice(LIMITS)
+        server.limit = rate
+        await asyncio.sleep(for_s)
+        server.limit = None
+        interval = records_lib.LimitInterval(
+            server.id, rate, start, self.cluster.now()
+        )
+        self.cluster.records.limits.append(interval)
+
     async def drain_server(self, for_s):
         cluster = self.cluster
         if len(cluster.servers) <= MIN_SERVERS:
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -15,6 +15,12 @@
 RECOVERY_BOUND_S = 15.0
 ROUTE_TIMEOUT_S = 2.0
 TOLERANCE_S = 0.5
+# A server that named a limit may get this many times the limit in a window of
+# this length, and a few requests more, from hosts that it told a moment before.
+LIMIT_EXCESS = 1.5
+LIMIT_EXTRA = 5
+LIMIT_WINDOW_S = 4.0
+LIMIT_NOTICE_S = 0.5
 # Endings that the host did not cause.
 UNCHECKED_ENDINGS = frozenset(
     {
@@ -51,6 +57,14 @@
                 violations.append(
                     f"{check_execution.__name__}: {violation}: {execution}"
                 )
+    for limit in records.limits:
+        violation = limited_server_is_not_flooded(
+            records, requests_by_id, limit
+        )
+        if violation:
+            violations.append(
+                f"limited_server_is_not_flooded: {violation}: {limit}"
+            )
     if records.recovery_s is None:
         violations.append(
             f"recovers: not served {RECOVERY_BOUND_S} s after the last fault"
@@ -201,6 +215,43 @@
     return None
 
 
+def limited_server_is_not_flooded(records, requests_by_id, limit):
+    told_at = _hosts_told(records, limit)
+    arrivals = []
+    for execution in records.executions:
+        request = requests_by_id.get(execution.id)
+        if request is None or execution.server != limit.server:
+            continue
+        told = told_at.get(request.host, float("inf"))
+        if not told + LIMIT_NOTICE_S <= execution.at <= limit.end:
+            continue
+        # Bytes that a fault held up arrive together.
+        targets = {request.host, limit.server}
+        start = execution.at - SETTLE_TIME_S
+        if records.is_fault_free(targets, start, execution.at):
+            arrivals.append(execution.at)
+    allowed = LIMIT_EXCESS * limit.rate * LIMIT_WINDOW_S + LIMIT_EXTRA
+    for end in arrivals:
+        if end < limit.start + SETTLE_TIME_S:
+            continue
+        count = sum(end - LIMIT_WINDOW_S < at <= end for at in arrivals)
+        if count > allowed:
+            return f"{count} requests in {LIMIT_WINDOW_S} s until {end:.2f}"
+    return None
+
+
+def _hosts_told(records, limit):
+    """Returns when each host first passed on an answer with the limit."""
+    told_at = {}
+    for request in records.requests:
+        if request.stamp != limit.server or request.sent_at < limit.start:
+            continue
+        if request.ended_at <= limit.end:
+            known = told_at.get(request.host, float("inf"))
+            told_at[request.host] = min(known, request.ended_at)
+    return told_at
+
+
 REQUEST_CHECKS = (
     answer_is_whole_and_for_this_request,
     unsafe_request_runs_at_most_once,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -113,6 +113,23 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitInterval:
+    """Interval in which a server named a rate limit in its answers.
+
+    Attributes:
+        server: Id of the server.
+        rate: Requests per second that it took from all hosts together.
+        start: When it began to name the limit.
+        end: When it stopped.
+    """
+
+    server: str
+    rate: float
+    start: float
+    end: float
+
+
 @dataclasses.dataclass(slots=True)
 class Records:
     """All records of a soak run.
@@ -122,6 +139,7 @@
         executions: Executions by backend servers.
         fault_intervals: Intervals of injected faults.
         acknowledged: Acknowledged changes.
+        limits: Intervals in which servers named rate limits.
         stall_ends: Ends of stalls of the test process, whose recorded times
             are unreliable.
         recovery_s: Seconds from the last fault until callers were served;
@@ -136,6 +154,7 @@
     acknowledged: list[AcknowledgedChange] = dataclasses.field(
         default_factory=list
     )
+    limits: list[LimitInterval] = dataclasses.field(default_factory=list)
     stall_ends: list[float] = dataclasses.field(default_factory=list)
     recovery_s: float | None = None
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -54,6 +54,9 @@
         await cluster.start(hosts, servers)
         cluster.started_at = cluster.loop.time()
         drawn = faults_lib.draw_faults(rng, length_s)
+        # A generator of its own, so that the faults of a seed stay the same.
+        limits = faults_lib.draw_limits(random.Random(-seed), length_s)
+        drawn = sorted(drawn + limits, key=lambda fault: fault.at)
         callers = [
             cluster_lib.Caller(cluster, n)
             for n in range(hosts * CALLERS_PER_HOST)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -180,3 +180,17 @@
         assert await ask(proxy) == b"x"
 
     runner.run_with_exit_stack(scenario)
+
+
+@pytest.mark.parametrize(("rate", "violated"), [(10.0, False), (2.0, True)])
+def test_a_flooded_server_violates_its_limit(rate, violated):
+    requests, executions = [], []
+    for number in range(100):
+        at = 10.0 + number / 10
+        id_ = f"r{number}"
+        requests.append(request(id=id_, sent_at=at, ended_at=at + 0.05))
+        executions.append(execution(id=id_, at=at + 0.02))
+    records = records_lib.Records(requests, executions, recovery_s=0.1)
+    records.limits.append(records_lib.LimitInterval("i1", rate, 11.0, 19.0))
+    found = [line.split(":")[0] for line in invariants.check(records)]
+    assert found == ["limited_server_is_not_flooded"] * violated
