Pin that peers contradict a limit that has ended, and write the cause

A mutation (limits that nobody confirms are not reported) passed the simulated test, as digests carry all limits; the new test of two hosts fails with it.

--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -259,7 +259,11 @@
 def test_a_host_that_missed_the_end_of_a_limit_learns_of_it():
     case = Case(25, 1.0)
     case.run(0.0, 8.0)
-    missed = next(h for h in case.fleet.hosts if h not in case.senders(8.0))
+    missed = next(
+        host
+        for host in case.fleet.hosts
+        if host not in case.senders(8.0) and host.relays.own_index(8.0) is None
+    )
     case.fleet.down.add(missed)
     case.rate = None
     case.run(8.0, 40.0)
@@ -400,3 +404,17 @@
     assert limits.rate(entry) == 0.1
     limits.observe(entry, None, 1.0)
     assert limits.rate(entry) is None
+
+
+def test_peers_contradict_a_limit_that_nobody_confirms():
+    ended = make_limited({}).throttle.limits
+    stale = make_limited({"i0": 3.0}).throttle.limits
+    entry = stale.view.servers["i0"].registration
+    ended.observe(entry, None, 20.0)
+    assert stale.report(limits_lib.REPORT_S + 1.0) == {}
+    now = 40.0
+    assert ended.report(now) == {}
+    assert ended.apply_reports(stale.report(now), now) == []
+    [change] = stale.apply_reports(ended.report(now + 0.5), now + 0.5)
+    assert change.rate is None and change.previous == 3.0
+    assert ended.report(now + limits_lib.REPORT_S + 1.0) == {}
