Divide a limit by the demand of the hosts

Change: hosts report, for servers with a limit, how many requests the server could have got from them (a token that was taken or missing), and divide the limit in that proportion; 1.5 hosts a request per second of the limit send instead of 1, each with at most one saved token.

--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -131,7 +131,10 @@
         pairs = self.placing.warmth.take_unsent(warmth.Audience.ALL)
         usages = peer_messages.encode_usages(self.quotas.report(now))
         limits = self.limits.report(now)
-        heartbeat = self._make_heartbeat(usages, pairs, limits)
+        demand = peer_messages.encode_demand(
+            self.placing.throttle.report_demand(now)
+        )
+        heartbeat = self._make_heartbeat(usages, pairs, limits, demand)
         receivers = self._receivers(self.fleet.contacts(now))
         silent = self.fleet.next_silent(now)
         if silent is not None:
@@ -218,6 +221,7 @@
         usages: list[peer_messages.EncodedUsage],
         warm: list[int],
         limits: Mapping[models.ServerId, server_limits.LimitReport],
+        demand: list[peer_messages.EncodedDemand] | None = None,
     ) -> peer_messages.Heartbeat:
         return peer_messages.Heartbeat(
             peer_messages.encode_host(self.fleet.own),
@@ -233,6 +237,7 @@
                 self.outliers.report(self.loop.time())
             ),
             peer_messages.encode_limits(limits, self.applier.view.servers),
+            demand,
         )
 
     def _handle_heartbeat(
@@ -258,6 +263,9 @@
         self.outliers.set_peer_report(host.id, evidence, now)
         limits = self.server_index.decode_limits(heartbeat.limits)
         self.limit_tracker.apply_reports(limits, host.id, now)
+        if heartbeat.demand is not None:
+            demand = self.server_index.decode_demand(heartbeat.demand)
+            self.placing.throttle.set_peer_demand(host.id, demand, now)
         self.placing.warmth.add_pairs(
             heartbeat.warm, now, forward=is_in_own_region
         )
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -326,6 +326,7 @@
             now = self.loop.time()
             self.connection_pools.close_expired(now)
             self.limit_tracker.drop_absent(now)
+            self.placing.throttle.drop_expired(now)
             self._update_state()
             # Contacts include hosts that recently fell silent and may go on
             # spending their share of the retry budget.
--- a/src/banyanshed/gateway/peer_messages.py
+++ b/src/banyanshed/gateway/peer_messages.py
@@ -80,8 +80,18 @@
     age_ms: int
 
 
+class EncodedDemand(msgspec.Struct, array_like=True, frozen=True):
+    """Demand for a server with a limit, in tenths of a request per second."""
+
+    server: int
+    rate: int
+
+
 class Heartbeat(msgspec.Struct, array_like=True, tag="b", frozen=True):
-    """What a host reports about itself."""
+    """What a host reports about itself.
+
+    Heartbeats in between the regular ones have no `demand`.
+    """
 
     host: EncodedHost
     state: members.HostState
@@ -92,6 +102,7 @@
     warm: list[int]
     evidence: list[EncodedEvidence]
     limits: list[EncodedLimit] = []
+    demand: list[EncodedDemand] | None = None
 
 
 class Contacts(msgspec.Struct, array_like=True, tag="c", frozen=True):
@@ -130,6 +141,7 @@
     warm: list[int]
     evidence: list[EncodedEvidence]
     limits: list[EncodedLimit] = []
+    demand: list[EncodedDemand] = []
 
 
 _MESSAGE = msgspec.msgpack.Decoder(Heartbeat | Contacts | Digest)
@@ -204,6 +216,17 @@
             )
         return reports
 
+    def decode_demand(
+        self, entries: Sequence[EncodedDemand]
+    ) -> dict[models.ServerId, float]:
+        """Returns demand by server, without unknown servers."""
+        demand = {}
+        for entry in entries:
+            server = self.by_hash.get(entry.server)
+            if server is not None:
+                demand[server] = max(0, entry.rate) / RATE_SCALE
+        return demand
+
     def decode_digest(self, digest: Digest) -> relays.Summary:
         """Decodes a digest into a region's summary."""
         states = dict.fromkeys(digest.ready, members.HostState.READY)
@@ -220,6 +243,7 @@
             digest.warm,
             self.decode_evidence(digest.evidence),
             self.decode_limits(digest.limits),
+            self.decode_demand(digest.demand),
         )
 
 
@@ -283,6 +307,7 @@
             list(summary.warm_pairs),
             encode_evidence(summary.evidence),
             encode_limits(summary.limits, servers),
+            encode_demand(summary.demand),
         )
     )
 
@@ -333,6 +358,16 @@
     return entries
 
 
+def encode_demand(
+    demand: Mapping[models.ServerId, float],
+) -> list[EncodedDemand]:
+    """Encodes demand by server."""
+    return [
+        EncodedDemand(hash_server(server), round(rate * RATE_SCALE))
+        for server, rate in demand.items()
+    ]
+
+
 def encode_usages(usages: Sequence[quotas.Usage]) -> list[EncodedUsage]:
     """Encodes customers' counters."""
     return [
--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -244,7 +244,7 @@
 
     def _accept(self, choice: Choice, found: _Found, now: float) -> Choice:
         """Takes a token of the chosen server's limit, if it has one."""
-        taken = self.throttle.take(choice.server)
+        taken = self.throttle.take(choice.server, now)
         skipped = tuple(server.registration.id for server in found.limited)
         if not taken and not skipped:
             return choice
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -51,6 +51,7 @@
         warm_pairs: Hashes of object and server that became warm.
         evidence: Combined evidence on suspected servers.
         limits: Rate limits of servers known to the relay.
+        demand: Requests per second of the region for servers with a limit.
     """
 
     relay: members.Host
@@ -63,6 +64,7 @@
     warm_pairs: Sequence[int]
     evidence: Mapping[models.ServerId, outliers.Evidence]
     limits: Mapping[models.ServerId, limits_lib.LimitReport]
+    demand: Mapping[models.ServerId, float]
 
 
 class Relays:
@@ -167,6 +169,7 @@
             self.placing.warmth.take_unsent(warmth.Audience.FAR),
             self.placing.health.outliers.aggregate_report(ids, now),
             self.placing.throttle.limits.report_all(now),
+            self.placing.throttle.region_report(ids, now),
         )
 
     def apply_summary(
@@ -186,6 +189,7 @@
         self.placing.health.outliers.set_peer_report(
             region_peer_id, summary.evidence, now
         )
+        self.placing.throttle.set_region_demand(region, summary.demand, now)
         if not self._update_main_relay(region, summary.relay.id, now):
             return
         if configuration is not None:
--- a/src/banyanshed/steering/throttling.py
+++ b/src/banyanshed/steering/throttling.py
@@ -1,17 +1,18 @@
 """Throttling: keeps requests to a backend server within the limit it names.
 
 Hosts divide a server's limit without coordination: only the first few hosts of
-the server's rendezvous order send to it, each at an equal part of the rate. So
-few hosts send that each of them may send about one request per second. At a
-limit below two a second that is a single host, as otherwise every host could
-send its first request at the same time.
+the server's rendezvous order send to it, at a limit of one a second a single
+one. Otherwise every host could send its first request at the same time. They
+divide the rate in proportion to the demand that they report to each
+other; a host whose demand is not known counts as much as this one.
 
 A host that fell silent keeps its place in the order for as long as messages
 are still sent to it: it may be cut off from its peers only, and go on sending.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping, Sequence
 import dataclasses
+import math
 
 from banyanshed.steering import limits as limits_lib
 from banyanshed.steering import locality
@@ -21,14 +22,25 @@
 
 _ZoneWeights = Mapping[models.ZoneName, float]
 
+# Hosts that send to a server, per request per second of its limit. Each may
+# have saved one request, so that this is also the time in seconds whose
+# requests may come at once.
+SENDERS_PER_RATE = 1.5
 # Requests that a host may send at once, in seconds of its part of the rate; at
 # least one request.
 BURST_S = 0.5
 # A server that takes no requests still gets one from time to time: only its
 # response can tell that the limit has ended.
 TRIAL_RATE = 1.0 / 30.0
+# Time constant of the decaying count from which a host's demand is computed.
+DEMAND_WINDOW_S = 2.0
+# Least demand of a host, in requests per second, so that every sender has a
+# part of the limit.
+MIN_DEMAND = 0.05
+# A reported demand counts for this long.
+DEMAND_TIMEOUT_S = 3.5
 # Interval at which a host determines its part of a limit, as hosts change.
-SHARE_CHECK_S = 0.5
+SHARE_CHECK_S = 0.25
 # Interval at which the list of hosts is renewed, for all servers at once.
 HOSTS_CHECK_S = 0.1
 # A host that did not run for this long may no longer use a permission from
@@ -36,6 +48,19 @@
 MAX_PAUSE_S = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerDemand:
+    """The demand that a peer, or all hosts of a region, last reported.
+
+    Attributes:
+        rates: Requests per second by server; 0 for servers without an entry.
+        reported_at: When the report arrived.
+    """
+
+    rates: Mapping[models.ServerId, float]
+    reported_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Bucket:
     """One host's tokens for one server.
@@ -46,6 +71,11 @@
         checked_at: When `rate` was determined.
         tokens: Requests that it may send at `refilled_at`.
         refilled_at: When `tokens` was computed.
+        wanted: Decaying count of requests that the server could have got from
+            this host, at `wanted_at`.
+        wanted_at: When a request was last counted.
+        reported: Demand in this host's last report to its peers.
+        reported_before: Demand in the report before that one.
     """
 
     limit: float
@@ -53,6 +83,25 @@
     checked_at: float
     tokens: float
     refilled_at: float
+    wanted: float = 0.0
+    wanted_at: float = 0.0
+    reported: float = 0.0
+    reported_before: float = 0.0
+
+    def count_request(self, now: float) -> None:
+        """Counts a request that the server could get."""
+        self.wanted = self._decayed_wanted(now) + 1.0
+        self.wanted_at = now
+
+    def report_demand(self, now: float) -> float:
+        """Returns the demand in requests per second, for peers."""
+        self.reported_before = self.reported
+        self.reported = self._decayed_wanted(now) / DEMAND_WINDOW_S
+        return self.reported
+
+    def _decayed_wanted(self, now: float) -> float:
+        age_s = max(0.0, now - self.wanted_at)
+        return self.wanted * math.exp(-age_s / DEMAND_WINDOW_S)
 
     def refill(self, now: float) -> None:
         """Adds the tokens since the last refill."""
@@ -91,10 +140,13 @@
         self.buckets: dict[models.ServerId, _Bucket] = {}
         self.hosts: Mapping[models.HostId, models.RegionName] = {}
         self.hosts_at = float("-inf")
+        self.orders: dict[models.ServerId, list[models.HostId]] = {}
         self.weights: dict[
             models.ServiceName, dict[models.RegionName, _ZoneWeights]
         ] = {}
         self.weights_version = -1
+        self.peer_demand: dict[models.HostId, _PeerDemand] = {}
+        self.region_demand: dict[models.RegionName, _PeerDemand] = {}
         self.ran_at: float | None = None
 
     def record_run(self, now: float) -> None:
@@ -114,9 +166,12 @@
             self.buckets.pop(entry.id, None)
             return True
         bucket = self._refill(entry, limit, now)
-        return bucket.tokens >= 1.0 and not self._is_after_pause(now)
+        if bucket.tokens < 1.0:
+            bucket.count_request(now)
+            return False
+        return not self._is_after_pause(now)
 
-    def take(self, server: views.Server) -> bool:
+    def take(self, server: views.Server, now: float) -> bool:
         """Takes a token if there is a limit; returns whether there is one.
 
         To be called only if the server has a token.
@@ -125,6 +180,7 @@
         if bucket is None:
             return False
         bucket.tokens -= 1.0
+        bucket.count_request(now)
         return True
 
     def is_valid(
@@ -141,6 +197,62 @@
             return True
         return taken_at is not None and now - taken_at <= MAX_PAUSE_S
 
+    def report_demand(self, now: float) -> dict[models.ServerId, float]:
+        """Returns the demand for servers to which this host sends, for peers.
+
+        To be called when the demand is reported, about once a second.
+        """
+        demand = {}
+        for server, bucket in self.buckets.items():
+            rate = bucket.report_demand(now)
+            if bucket.rate > 0.0 and rate > MIN_DEMAND:
+                demand[server] = rate
+        return demand
+
+    def region_report(
+        self, hosts: Collection[models.HostId], now: float
+    ) -> dict[models.ServerId, float]:
+        """Returns the demand of this host and the given peers together."""
+        demand = {
+            server: bucket.reported
+            for server, bucket in self.buckets.items()
+            if bucket.rate > 0.0
+        }
+        for host in hosts:
+            known = self.peer_demand.get(host)
+            if known is None or now - known.reported_at > DEMAND_TIMEOUT_S:
+                continue
+            for server, rate in known.rates.items():
+                demand[server] = demand.get(server, 0.0) + rate
+        return demand
+
+    def set_peer_demand(
+        self,
+        host: models.HostId,
+        rates: Mapping[models.ServerId, float],
+        now: float,
+    ) -> None:
+        """Replaces the demand that a peer reported."""
+        self.peer_demand[host] = _PeerDemand(rates, now)
+
+    def set_region_demand(
+        self,
+        region: models.RegionName,
+        rates: Mapping[models.ServerId, float],
+        now: float,
+    ) -> None:
+        """Replaces the demand that a relay reported for its region."""
+        self.region_demand[region] = _PeerDemand(rates, now)
+
+    def drop_expired(self, now: float) -> None:
+        """Drops what peers reported too long ago, and buckets not in use."""
+        for host, known in list(self.peer_demand.items()):
+            if now - known.reported_at > DEMAND_TIMEOUT_S:
+                del self.peer_demand[host]
+        for server in list(self.buckets):
+            if server not in self.view.servers:
+                del self.buckets[server]
+
     def retry_after_s(self, server: views.Server, now: float) -> float:
         """Returns the seconds until a host may send to a limited server."""
         entry = server.registration
@@ -158,52 +270,96 @@
     ) -> _Bucket:
         bucket = self.buckets.get(server.id)
         if bucket is None:
-            rate = self._determine_rate(server, limit, now)
             # Empty, as others may have sent requests just before.
-            bucket = _Bucket(limit, rate, now, 0.0, now)
+            bucket = _Bucket(limit, 0.0, float("-inf"), 0.0, now)
             self.buckets[server.id] = bucket
-            return bucket
         bucket.refill(now)
         if bucket.limit != limit or now - bucket.checked_at >= SHARE_CHECK_S:
             bucket.limit = limit
-            bucket.rate = self._determine_rate(server, limit, now)
+            bucket.rate = self._determine_rate(server, bucket, now)
             bucket.checked_at = now
             if bucket.rate <= 0.0:
                 bucket.tokens = 0.0
         return bucket
 
     def _determine_rate(
-        self, server: models.Registration, limit: float, now: float
+        self, server: models.Registration, bucket: _Bucket, now: float
     ) -> float:
         """Returns this host's part of a server's limit."""
-        if now - self.hosts_at >= HOSTS_CHECK_S:
-            self.hosts = self.sharing_hosts()
-            self.hosts_at = now
-        hosts = self.hosts
-        if self.host not in hosts:
+        self._update_hosts(now)
+        senders = self._choose_senders(server, bucket.limit)
+        if self.host not in senders:
             return 0.0
-        senders = max(1, min(len(hosts), int(limit)))
+        own = max(bucket.reported, MIN_DEMAND)
+        others = self._demand_of_others(server.id, senders, own, now)
+        return max(bucket.limit, TRIAL_RATE) * own / (own + others)
+
+    def _update_hosts(self, now: float) -> None:
+        if now - self.hosts_at < HOSTS_CHECK_S:
+            return
+        self.hosts_at = now
+        hosts = self.sharing_hosts()
+        if hosts != self.hosts:
+            self.hosts = hosts
+            self.orders.clear()
+
+    def _choose_senders(
+        self, server: models.Registration, limit: float
+    ) -> list[models.HostId]:
+        """Returns the hosts that send to a server with a limit."""
         weights = self._region_weights(server)
-        own = self._rank(server, self.host, hosts, weights)
-        ahead = 0
-        for host in hosts:
-            if host == self.host:
-                continue
-            if self._rank(server, host, hosts, weights) < own:
-                ahead += 1
-        if ahead >= senders:
-            return 0.0
-        return max(limit, TRIAL_RATE) / senders
+        order = self.orders.get(server.id)
+        if order is None:
+            key = f"limit {server.id}"
+            order = sorted(
+                self.hosts,
+                key=lambda host: rendezvous.weighted_rank(
+                    key, host, weights.get(self.hosts[host], 1.0)
+                ),
+            )
+            self.orders[server.id] = order
+        count = int(min(SENDERS_PER_RATE * limit, len(order)))
+        return order[: max(1, count)]
 
-    def _rank(
+    def _demand_of_others(
         self,
-        server: models.Registration,
-        host: models.HostId,
-        hosts: Mapping[models.HostId, models.RegionName],
-        weights: Mapping[models.RegionName, float],
+        server: models.ServerId,
+        senders: Sequence[models.HostId],
+        unknown: float,
+        now: float,
     ) -> float:
-        weight = weights.get(hosts[host], 1.0)
-        return rendezvous.weighted_rank(f"limit {server.id}", host, weight)
+        """Returns the demand of the other senders together.
+
+        Args:
+            server: The server.
+            senders: The hosts that send to it.
+            unknown: Demand of a sender that did not report it.
+            now: Current time in seconds.
+        """
+        total = 0.0
+        regions = set()
+        for host in senders:
+            if host == self.host:
+                continue
+            region = self.hosts[host]
+            known = self._recent(self.peer_demand.get(host), now)
+            if known is not None:
+                total += max(known.rates.get(server, 0.0), MIN_DEMAND)
+            elif self._recent(self.region_demand.get(region), now) is None:
+                total += unknown
+            else:
+                regions.add(region)
+        for region in regions:
+            rates = self.region_demand[region].rates
+            total += max(rates.get(server, 0.0), MIN_DEMAND)
+        return total
+
+    def _recent(
+        self, known: _PeerDemand | None, now: float
+    ) -> _PeerDemand | None:
+        if known is None or now - known.reported_at > DEMAND_TIMEOUT_S:
+            return None
+        return known
 
     def _region_weights(
         self, server: models.Registration
@@ -211,6 +367,7 @@
         """Returns how much of each region's requests the server should get."""
         if self.weights_version != self.view.servers_version:
             self.weights.clear()
+            self.orders.clear()
             self.weights_version = self.view.servers_version
         by_region = self.weights.get(server.service)
         if by_region is None:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -69,6 +69,7 @@
         work = dict(sender.placing.health.in_flight_by_server())
         evidence = sender.outliers.report(now)
         limits = sender.limits.report(now)
+        demand = sender.placing.throttle.report_demand(now)
         for host in self.up():
             if host is sender or host.region != sender.region:
                 continue
@@ -80,6 +81,9 @@
                 reply = host.limits.report_all(now)
                 sender.limits.apply_reports(reply, now)
             host.limits.apply_reports(limits, now)
+            host.placing.throttle.set_peer_demand(
+                sender.identity.id, demand, now
+            )
             host.placing.set_peer_in_flight(sender.identity.id, work)
             host.outliers.set_peer_report(sender.identity.id, evidence, now)
             host.quotas.apply_reports(
