Keep objects together when servers are at their limits

What callers would see: with all servers of a service at their limits, most answers are late. Cause: which servers have a token differs from host to host and from moment to moment; requests went on to any server with one, so that each server had to learn all objects and none stayed warm. Change: after three servers without a token, a request goes to a server with a limit only if its object is warm there; else it is rejected at once. Also: a limit that falls left up to half a second of requests at the old rate saved on a host; they are dropped now. Test of each: test_requests_do_not_scatter_over_servers_at_their_limits, test_a_lowered_limit_leaves_no_more_than_one_saved_request.

--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -43,6 +43,9 @@
 # another server may be warm, and a server that is saturated with requests for
 # objects that are warm there.
 LEARN_SHARE = 0.1
+# After this many servers without a token, a request goes to a server with a
+# limit only if its object is warm there.
+MAX_LIMITED_SKIPS = 3
 # Maximum number of servers that are compared for a request.
 MAX_CANDIDATES = 24
 # Share of the remaining time that the expected time to an answer may take,
@@ -134,7 +137,8 @@
     Attributes:
         choices: Servers that may be used at once.
         cold: Cold servers, whose rate is limited.
-        limited: Servers that named a limit and have no token on this host.
+        limited: Servers that named a limit and have no token on this host, or
+            would learn an object too many.
     """
 
     choices: list[Choice]
@@ -328,11 +332,26 @@
                 found.cold.append(server)
                 continue
             choice = self._estimate(request, server, now)
+            if self._would_scatter(choice, found):
+                found.limited.append(server)
+                continue
             found.choices.append(choice)
             if choice.warm and choice.load < FULL_LOAD:
                 break
         return found
 
+    def _would_scatter(self, choice: Choice, found: _Found) -> bool:
+        """Returns whether a limited server would learn one object too many.
+
+        Servers without a token differ from host to host and from moment to
+        moment. If requests went on to any server with a token, each server
+        would soon have to learn all objects, and none would be warm.
+        """
+        if choice.warm or len(found.limited) < MAX_LIMITED_SKIPS:
+            return False
+        limit = self.throttle.limits.rate(choice.server.registration)
+        return limit is not None
+
     def estimate_all(
         self, request: PlacementRequest, now: float
     ) -> list[Choice]:
--- a/src/banyanshed/steering/throttling.py
+++ b/src/banyanshed/steering/throttling.py
@@ -105,10 +105,14 @@
 
     def refill(self, now: float) -> None:
         """Adds the tokens since the last refill."""
-        depth = max(1.0, self.rate * BURST_S)
-        tokens = self.tokens + (now - self.refilled_at) * self.rate
-        self.tokens = min(depth, tokens)
+        self.tokens += (now - self.refilled_at) * self.rate
         self.refilled_at = now
+        self.drop_excess()
+
+    def drop_excess(self) -> None:
+        """Drops tokens beyond those that the rate lets this host save."""
+        depth = max(1.0, self.rate * BURST_S) if self.rate > 0.0 else 0.0
+        self.tokens = min(depth, self.tokens)
 
 
 class ServerThrottle:
@@ -278,8 +282,7 @@
             bucket.limit = limit
             bucket.rate = self._determine_rate(server, bucket, now)
             bucket.checked_at = now
-            if bucket.rate <= 0.0:
-                bucket.tokens = 0.0
+            bucket.drop_excess()
         return bucket
 
     def _determine_rate(
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -9,6 +9,7 @@
 from banyanshed.steering import outliers
 from banyanshed.steering import placement
 from banyanshed.steering import throttling
+from banyanshed.steering import warmth
 from tests import steering_cases as cases
 from tests import test_relays
 from tests import test_server_limits
@@ -365,6 +366,37 @@
     assert choice.token_taken_at == 1.3
 
 
+def test_a_lowered_limit_leaves_no_more_than_one_saved_request():
+    placing = make_limited({"i0": 60.0})
+    others = ("i1", "i2", "i3")
+    assert count_requests(placing, "i0", 1.0, others) > 30
+    server = placing.view.servers["i0"]
+    assert placing.throttle.has_token(server, 3.0)
+    placing.throttle.limits.observe(server.registration, 0.5, 3.0)
+    taken = 0
+    while not isinstance(choose(placing, 3.01, others), placement.Rejection):
+        taken += 1
+    assert taken <= 1
+
+
+def test_requests_do_not_scatter_over_servers_at_their_limits():
+    names = [f"i{number}" for number in range(4)]
+    placing = make_limited(dict.fromkeys(names, 0.5))
+    found = placing._order("s", "o")
+    order = [server.registration.id for server in found]
+    last = found[3]
+    placing.throttle.limits.observe(last.registration, 50.0, 0.5)
+    placing.throttle.has_token(last, 0.5)
+    assert choose(placing, 1.0).reason == "servers_limited"
+    pair = warmth.hash_pair("r", "o", order[3])
+    placing.warmth.add_pairs([pair], 1.0)
+    assert choose(placing, 1.0).server.registration.id == order[3]
+    # A server without a limit takes any request.
+    placing.warmth.pairs.clear()
+    placing.throttle.limits.observe(last.registration, None, 2.0)
+    assert choose(placing, 2.0).server.registration.id == order[3]
+
+
 def test_a_retry_goes_to_a_limited_server_only_within_its_limit():
     placing = make_limited({"i0": 2.0})
     others = ("i1", "i2", "i3")
