Tell callers when a server at its limit has room again

Cause: with servers passed over to keep objects together, the time of the earliest token was that of a server which the request may not use: 0.15 s. Change: the first servers of the order decide, which have no token.

--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -265,9 +265,10 @@
             f"known={known} cold={len(found.cold)} limited={len(found.limited)}"
         )
         if found.limited:
+            # The first ones have no token; later ones may only be unsuitable.
             wait_s = min(
                 self.throttle.retry_after_s(server, now)
-                for server in found.limited
+                for server in found.limited[:MAX_LIMITED_SKIPS]
             )
             wait_s = _clamp_retry_after(wait_s)
             return Rejection("servers_limited", wait_s, inputs)
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -387,7 +387,10 @@
     last = found[3]
     placing.throttle.limits.observe(last.registration, 50.0, 0.5)
     placing.throttle.has_token(last, 0.5)
-    assert choose(placing, 1.0).reason == "servers_limited"
+    rejection = choose(placing, 1.0)
+    assert rejection.reason == "servers_limited"
+    # The time until one of the first servers has a token, not at once.
+    assert rejection.retry_after_s == placement.MAX_RETRY_AFTER_S
     pair = warmth.hash_pair("r", "o", order[3])
     placing.warmth.add_pairs([pair], 1.0)
     assert choose(placing, 1.0).server.registration.id == order[3]
