--- a/src/banyanshed/steering/throttling.py
+++ b/src/banyanshed/steering/throttling.py
@@ -1,10 +1,10 @@
 """Throttling: keeps requests to a backend server within the limit it names.
 
-Hosts divide a server's limit without coordination: only the first few hosts of
-the server's rendezvous order send to it, at a limit of one a second a single
-one. Otherwise every host could send its first request at the same time. They
-divide the rate in proportion to the demand that they report to each
-other; a host whose demand is not known counts as much as this one.
+Only the first few hosts of a server's rendezvous order send to it, a single one
+at a limit of one a second: otherwise every host could send its first request at
+the same time. These hosts divide the rate in proportion to the demand that they
+report to each other. A host whose demand is not known counts as much as this
+one.
 
 A host that fell silent keeps its place in the order for as long as messages
 are still sent to it: it may be cut off from its peers only, and go on sending.
