Check the age of a demand report in one place

Found on reading the change again: the same comparison stood three times in throttling.py. Behaviour is the same; test_throttling, test_server_limits, test_relays and test_layout pass.

--- a/src/banyanshed/steering/throttling.py
+++ b/src/banyanshed/steering/throttling.py
@@ -223,8 +223,8 @@
             if bucket.rate > 0.0
         }
         for host in hosts:
-            known = self.peer_demand.get(host)
-            if known is None or now - known.reported_at > DEMAND_TIMEOUT_S:
+            known = _recent(self.peer_demand.get(host), now)
+            if known is None:
                 continue
             for server, rate in known.rates.items():
                 demand[server] = demand.get(server, 0.0) + rate
@@ -251,7 +251,7 @@
     def drop_expired(self, now: float) -> None:
         """Drops what peers reported too long ago, and buckets not in use."""
         for host, known in list(self.peer_demand.items()):
-            if now - known.reported_at > DEMAND_TIMEOUT_S:
+            if _recent(known, now) is None:
                 del self.peer_demand[host]
         for server in list(self.buckets):
             if server not in self.view.servers:
@@ -345,10 +345,10 @@
             if host == self.host:
                 continue
             region = self.hosts[host]
-            known = self._recent(self.peer_demand.get(host), now)
+            known = _recent(self.peer_demand.get(host), now)
             if known is not None:
                 total += max(known.rates.get(server, 0.0), MIN_DEMAND)
-            elif self._recent(self.region_demand.get(region), now) is None:
+            elif _recent(self.region_demand.get(region), now) is None:
                 total += unknown
             else:
                 regions.add(region)
@@ -357,13 +357,6 @@
             total += max(rates.get(server, 0.0), MIN_DEMAND)
         return total
 
-    def _recent(
-        self, known: _PeerDemand | None, now: float
-    ) -> _PeerDemand | None:
-        if known is None or now - known.reported_at > DEMAND_TIMEOUT_S:
-            return None
-        return known
-
     def _region_weights(
         self, server: models.Registration
     ) -> dict[models.RegionName, float]:
@@ -393,3 +386,10 @@
 
     def _is_after_pause(self, now: float) -> bool:
         return self.ran_at is not None and now - self.ran_at > MAX_PAUSE_S
+
+
+def _recent(known: _PeerDemand | None, now: float) -> _PeerDemand | None:
+    """Returns a report, or None if it is missing or too old."""
+    if known is None or now - known.reported_at > DEMAND_TIMEOUT_S:
+        return None
+    return known
