Log the store's era and what a full read of a table returned

Change: pages of the store carry its era; lines store_era and table_read, and the known number in history_lost. Nothing acts on the era yet. Evidence: test_feeds, test_sources, test_platform_adapters pass.

--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -52,16 +52,23 @@
         self.sent_at = float("-inf")
         self.lost_at = float("-inf")
         self.failed_at = float("-inf")
+        self.era: int | None = None
 
     async def run(self) -> None:
         """Reads changes until cancelled; retries failed calls with backoff."""
         while True:
             try:
                 has_changes = await self._poll()
-            except store_lib.HistoryLost:
+            except store_lib.HistoryLost as error:
                 self.needs_full_read = True
                 self._count_call(self.source, "lost")
-                logs.log_event("history_lost", table=self.mirror.table)
+                logs.log_event(
+                    "history_lost",
+                    table=self.mirror.table,
+                    source=self.source.name,
+                    version=self.mirror.version,
+                    era=error.era,
+                )
             except exceptions.PlatformError as error:
                 self._record_failure(error)
                 if not self.source.is_store:
@@ -96,7 +103,18 @@
             page = await source.tables.read_table(mirror.table)
             self._record_success("read")
             self.needs_full_read = False
+            known_version = mirror.version
             changed = mirror.replace(page)
+            logs.log_event(
+                "table_read",
+                table=mirror.table,
+                source=source.name,
+                era=page.era,
+                version=page.version,
+                known_version=known_version,
+                rows=len(page.rows),
+                changed=len(changed),
+            )
         else:
             # While disconnected, a long poll would delay the detection that
             # the store answers again.
@@ -106,6 +124,7 @@
             )
             self._record_success("changes")
             changed = mirror.merge(page)
+        self._record_era(page.era)
         if changed or not self.applier.view.servers_known:
             max_age_s = self._waits().batch_delay_s
             self.applier.apply(mirror, changed, source.name, max_age_s)
@@ -114,6 +133,19 @@
     def _waits(self) -> waits_lib.TableWaits:
         return self.applier.waits_of(self.mirror.table)
 
+    def _record_era(self, era: int) -> None:
+        """Logs a change of the era that the source's answers name."""
+        if era == self.era:
+            return
+        logs.log_event(
+            "store_era",
+            table=self.mirror.table,
+            source=self.source.name,
+            era=era,
+            previous=self.era,
+        )
+        self.era = era
+
     def _count_call(self, source: sources_lib.Source, result: str) -> None:
         if source.is_store:
             self.counters.count_store_call(self.mirror.table, result)
--- a/src/banyanshed/platform/headers.py
+++ b/src/banyanshed/platform/headers.py
@@ -26,6 +26,9 @@
 # Requests per second that a backend server takes from all hosts together, in
 # both spellings that the platform uses.
 SERVER_LIMITS = frozenset({b"x-banyanshed-server-limit", b"server-limit"})
+# In every response of the store: a number that rises when the store continues
+# from an older copy of its rows, whose versions it then gives out again.
+STORE_ERA = b"store-era"
 
 # Headers set by the host or meant for it only. A caller's values are never
 # forwarded to backend servers.
@@ -84,6 +87,14 @@
     return models.Load(running, waiting, slots)
 
 
+def decode_era(headers: Sequence[tuple[bytes, bytes]]) -> int:
+    """Decodes the store's era; 0 if a response names none."""
+    for name, value in headers:
+        if name == STORE_ERA and value.strip().isdigit():
+            return int(value)
+    return 0
+
+
 def decode_deadline_s(value: bytes) -> float | None:
     """Decodes a caller's deadline into seconds; None when it is malformed."""
     try:
--- a/src/banyanshed/platform/store.py
+++ b/src/banyanshed/platform/store.py
@@ -1,10 +1,11 @@
 """Client of the platform's store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 from urllib import parse
 
 from banyanshed import exceptions
+from banyanshed.platform import headers as header_names
 from banyanshed.platform import wire
 
 # Timeout of a call, added to the duration of a long poll.
@@ -14,15 +15,25 @@
 
 
 class HistoryLost(exceptions.PlatformError):
-    """The store no longer has the changes after the requested version."""
+    """The store does not have the changes after the requested version.
+
+    Attributes:
+        era: Era of the store; 0 if it is not known.
+    """
 
     code = "history_lost"
 
+    def __init__(self, detail: str, era: int = 0):
+        """Sets the detail and the era of the store that answered."""
+        super().__init__(detail)
+        self.era = era
+
 
 class Response(Protocol):
     """Response of an HTTP client."""
 
     status: int
+    headers: Sequence[tuple[bytes, bytes]]
     body: bytes
 
 
@@ -72,7 +83,7 @@
             # changes made since, including those already in later pages.
             version = page.version if version is None else version
             if not page.more or not page.rows:
-                return wire.Page(tuple(rows), version, False)
+                return wire.Page(tuple(rows), version, False, page.era)
             start = page.rows[-1].key + "\0"
 
     async def read_changes(
@@ -124,11 +135,12 @@
         response = await self._call(
             connection_key, "GET", target, b"", timeout_s
         )
+        era = header_names.decode_era(response.headers)
         if response.status == 410:
-            raise HistoryLost(query.get("after", ""))
+            raise HistoryLost(query.get("after", ""), era)
         if response.status != 200:
             raise exceptions.StoreUnavailable(f"status {response.status}")
-        return wire.decode_page(response.body)
+        return wire.decode_page(response.body, era)
 
     async def _transact(self, body: bytes) -> None:
         target = "/api/rows-tx"
--- a/src/banyanshed/platform/wire.py
+++ b/src/banyanshed/platform/wire.py
@@ -49,11 +49,14 @@
         rows: Rows in the store's order.
         version: Number of the newest transaction that the page reflects.
         more: Whether the table has more rows after these.
+        era: Era of the store in which they were read. Versions of different
+            eras can't be compared.
     """
 
     rows: tuple[Row, ...]
     version: int
     more: bool
+    era: int = 0
 
 
 class _WireRow(msgspec.Struct):
@@ -153,9 +156,13 @@
 _SERVER = msgspec.json.Decoder(_WireServer)
 
 
-def decode_page(body: bytes) -> Page:
+def decode_page(body: bytes, era: int = 0) -> Page:
     """Decodes the response to a read of a table.
 
+    Args:
+        body: Body of the response.
+        era: Era of the store, from the response's headers.
+
     Raises:
         MalformedMessage: The response can't be decoded.
     """
@@ -164,7 +171,7 @@
         rows = tuple(_decode_row(row) for row in wire.rows)
     except (msgspec.MsgspecError, binascii.Error) as error:
         raise MalformedMessage(f"rows: {error}") from error
-    return Page(rows, wire.ver, wire.hasMore)
+    return Page(rows, wire.ver, wire.hasMore, era)
 
 
 def encode_write(table: str, key: str, value: bytes) -> bytes:
