Show that a change after a restore of the store is never seen

Evidence: test_a_change_after_the_store_was_restored_takes_effect fails: three hosts, a store that is restored from a copy two transactions old; the next configuration, whose number was given out before, is not in force after 30 s. The stand-in of the store can be restored and names its era in all responses.

--- a/standins/store.py
+++ b/standins/store.py
@@ -38,6 +38,14 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """A copy of the store's rows, from which it can be restored."""
+
+    rows: dict[tuple[str, str], StoredRow]
+    version: int
+
+
 class Store:
     """A store within the test's process.
 
@@ -45,6 +53,7 @@
         fault: Fault applied to calls.
         calls: Names of all calls, including failed ones.
         history_from: Changes up to this version are no longer available.
+        era: Number of times that the store was restored, plus one.
     """
 
     def __init__(self) -> None:
@@ -52,6 +61,7 @@
         self.rows: dict[tuple[str, str], StoredRow] = {}
         self.version = 0
         self.history_from = 0
+        self.era = 1
         self.fault = Fault.NONE
         self.calls: list[str] = []
         self.changed = asyncio.Condition()
@@ -75,8 +85,28 @@
         """Discards the change history, so that feeds reread whole tables."""
         self.history_from = self.version
 
+    def copy(self) -> Copy:
+        """Returns a copy of all rows."""
+        return Copy(dict(self.rows), self.version)
+
+    async def restore(self, copy: Copy) -> None:
+        """Continues from a copy; its later versions are given out again."""
+        async with self.changed:
+            self.rows = dict(copy.rows)
+            self.version = copy.version
+            self.history_from = min(self.history_from, copy.version)
+            self.era += 1
+            self.changed.notify_all()
+
     async def serve(self, request: messages.Request) -> messages.Response:
-        """Handles an API call."""
+        """Handles an API call; all responses name the era."""
+        response = await self._serve(request)
+        era = (b"store-era", str(self.era).encode())
+        return messages.Response(
+            response.status, [*response.headers, era], response.body
+        )
+
+    async def _serve(self, request: messages.Request) -> messages.Response:
         path, _, text = request.target.decode().partition("?")
         query = {name: v[0] for name, v in parse.parse_qs(text).items()}
         call = path.removeprefix("/api/")
@@ -113,11 +143,13 @@
         wait_s = int(query["waitMs"]) / 1000.0
         try:
             async with asyncio.timeout(wait_s), self.changed:
-                while not self._changes_after(query["table"], after):
+                while after <= self.version and not self._changes_after(
+                    query["table"], after
+                ):
                     await self.changed.wait()
         except TimeoutError:
             pass
-        if after < self.history_from:
+        if not self.history_from <= after <= self.version:
             return messages.Response(410)
         rows = [
             self._encode(key, row)
