Keep what was confirmed when the store returns from an older copy

What callers saw: after the store came back from a copy some seconds old, changes that it confirmed were not in force on any host: 404 on routes that had been added, requests run by the old service (CONFIG, DENIED, HOME). Cause: one number per table was compared across restores of the store. Hosts that had taken the copy as it was would have gone back instead. Change: versions are pairs of era and number in mirrors, heartbeats, digests, copies and feeds. steering/restores.py keeps configuration, servers, removals and evacuations that were confirmed until their writers have written them again; peers exchange fingerprints of these rows and fetch what they lack; a starting host asks peers before it serves; hosts write their rows again.

--- a/src/banyanshed/gateway/appliers.py
+++ b/src/banyanshed/gateway/appliers.py
@@ -13,6 +13,7 @@
 from banyanshed.platform import wire
 from banyanshed.steering import models
 from banyanshed.steering import outages
+from banyanshed.steering import restores
 from banyanshed.steering import views
 from banyanshed.steering import waits as waits_lib
 
@@ -51,6 +52,7 @@
         self.waits = waits
         self.clock = clock
         self.outage = outages.Outage(waits)
+        self.configuration_value = b""
 
     def apply(
         self,
@@ -74,6 +76,50 @@
             self._apply_servers(list(changed), source, max_age_s)
             self.view.servers_known = True
 
+    def replace(
+        self, mirror: mirrors.Mirror, page: wire.Page
+    ) -> list[wire.Row]:
+        """Replaces a mirror's rows and logs what a restore of the store lost.
+
+        Returns:
+            The changed rows, which have not been applied yet.
+        """
+        now = self.clock()
+        era = mirror.era
+        changed = mirror.replace(page, self._holds(mirror.table, now), now)
+        if era and mirror.era > era:
+            for key, entry in mirror.overlay.rows.items():
+                logs.log_event(
+                    "row_kept",
+                    table=mirror.table,
+                    key=key,
+                    is_removed=entry.is_removed,
+                    written_in_era=entry.written_at.era,
+                    row_version=entry.written_at.number,
+                    era=mirror.era,
+                )
+        return changed
+
+    def expire(self, mirror: mirrors.Mirror) -> None:
+        """Lets rows go that nobody has written again after a restore."""
+        now = self.clock()
+        changed = mirror.expire(now)
+        for row in changed:
+            logs.log_event(
+                "row_released",
+                table=mirror.table,
+                key=row.key,
+                is_removed=row.value is None,
+                era=mirror.era,
+            )
+        if not changed:
+            return
+        if mirror.table == wire.OPERATOR_TABLE:
+            self._apply_operator(mirror, changed, "store")
+            return
+        for row in changed:
+            self._apply_server(row, now, now, "", "store")
+
     def waits_of(self, table: str) -> waits_lib.TableWaits:
         """Returns the delays that apply to changes of a table."""
         if table == wire.OPERATOR_TABLE:
@@ -94,7 +140,7 @@
         prefix = wire.EVACUATION_PREFIX
         zones = {
             models.ZoneName(key[len(prefix) :])
-            for key in mirror.rows
+            for key in mirror.current_rows()
             if key.startswith(prefix)
         }
         begun, ended = self.view.set_evacuated(zones, self.clock())
@@ -110,8 +156,10 @@
         except wire.MalformedMessage as error:
             logs.log_event("configuration_unreadable", error=str(error))
             return
-        if not self.view.accept_configuration(configuration):
+        is_rewritten = row.value != self.configuration_value
+        if not self.view.accept_configuration(configuration, is_rewritten):
             return
+        self.configuration_value = row.value
         self.set_limits(configuration)
         logs.log_event(
             "configuration_in_force",
@@ -135,19 +183,42 @@
             if in_service_until > keep_until:
                 keep_until, reason = in_service_until, "many_removed"
         for row in changed:
-            id_ = models.ServerId(row.key)
-            if row.value is None:
-                self._remove_server(id_, now, keep_until, reason, source)
-                continue
-            try:
-                entry = wire.decode_server(row.key, row.value)
-            except wire.MalformedMessage as error:
-                logs.log_event(
-                    "server_entry_unreadable", server=id_, error=str(error)
-                )
-                self._remove_server(id_, now, now, "", source)
-                continue
-            self._update_server(entry, now, row.version, source)
+            self._apply_server(row, now, keep_until, reason, source)
+
+    def _apply_server(
+        self,
+        row: wire.Row,
+        now: float,
+        keep_until: float,
+        reason: str,
+        source: str,
+    ) -> None:
+        id_ = models.ServerId(row.key)
+        if row.value is None:
+            self._remove_server(id_, now, keep_until, reason, source)
+            return
+        try:
+            entry = wire.decode_server(row.key, row.value)
+        except wire.MalformedMessage as error:
+            logs.log_event(
+                "server_entry_unreadable", server=id_, error=str(error)
+            )
+            self._remove_server(id_, now, now, "", source)
+            return
+        self._update_server(entry, now, row.version, source)
+
+    def _holds(self, table: str, now: float) -> restores.Holds:
+        """Returns until when rows count that a restored store lacks."""
+        if table == wire.OPERATOR_TABLE:
+            until = now + restores.EVACUATION_HOLD_S
+            return restores.Holds(until, until)
+        missing_until = max(
+            self.outage.kept_until(now), now + self.waits.kept_in_service_s(0.0)
+        )
+        lapsed_at = now + self.waits.bounds.lapse_s
+        return restores.Holds(
+            missing_until, lapsed_at + waits_lib.RE_REGISTRATION_S
+        )
 
     def _update_server(
         self,
--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -53,6 +53,8 @@
         self.lost_at = float("-inf")
         self.failed_at = float("-inf")
         self.era: int | None = None
+        # Whether the changes after the last full read could not be read.
+        self.lost_again = False
 
     async def run(self) -> None:
         """Reads changes until cancelled; retries failed calls with backoff."""
@@ -60,7 +62,6 @@
             try:
                 has_changes = await self._poll()
             except store_lib.HistoryLost as error:
-                self.needs_full_read = True
                 self._count_call(self.source, "lost")
                 logs.log_event(
                     "history_lost",
@@ -69,15 +70,15 @@
                     version=self.mirror.version,
                     era=error.era,
                 )
+                if self.lost_again:
+                    await asyncio.sleep(self._next_pause_s())
+                self.needs_full_read = True
+                self.lost_again = True
             except exceptions.PlatformError as error:
                 self._record_failure(error)
                 if not self.source.is_store:
                     continue
-                await asyncio.sleep(_add_jitter(self.retry_s))
-                self.retry_s *= 2.0
-                self.retry_s = min(
-                    self.applier.waits.max_retry_delay_s, self.retry_s
-                )
+                await asyncio.sleep(self._next_pause_s())
             else:
                 if has_changes and self.source.is_store:
                     # Batches changes that follow each other.
@@ -101,10 +102,11 @@
         was_known = not self.needs_full_read
         if self.needs_full_read:
             page = await source.tables.read_table(mirror.table)
+            self._check_era(page.era)
             self._record_success("read")
             self.needs_full_read = False
             known_version = mirror.version
-            changed = mirror.replace(page)
+            changed = self.applier.replace(mirror, page)
             logs.log_event(
                 "table_read",
                 table=mirror.table,
@@ -119,10 +121,14 @@
             # While disconnected, a long poll would delay the detection that
             # the store answers again.
             wait_s = source.wait_s if self.is_connected else 0.0
-            page = await source.tables.read_changes(
-                mirror.table, mirror.version, wait_s
-            )
+            asked = mirror.table_version()
+            page = await source.tables.read_changes(mirror.table, asked, wait_s)
+            self._check_era(page.era)
+            if page.era != asked.era:
+                raise store_lib.HistoryLost("restored", page.era)
             self._record_success("changes")
+            self.retry_s = RETRY_MIN_S
+            self.lost_again = False
             changed = mirror.merge(page)
         self._record_era(page.era)
         if changed or not self.applier.view.servers_known:
@@ -133,6 +139,25 @@
     def _waits(self) -> waits_lib.TableWaits:
         return self.applier.waits_of(self.mirror.table)
 
+    def _check_era(self, era: int) -> None:
+        """Rejects a page from before a restore that is known already.
+
+        Raises:
+            StoreUnavailable: The source is behind.
+        """
+        if era < self.mirror.era:
+            raise exceptions.StoreUnavailable(
+                f"era {era} is before era {self.mirror.era}"
+            )
+
+    def _next_pause_s(self) -> float:
+        """Returns the pause before the next call, and lengthens later ones."""
+        pause_s = _add_jitter(self.retry_s)
+        self.retry_s = min(
+            self.applier.waits.max_retry_delay_s, 2.0 * self.retry_s
+        )
+        return pause_s
+
     def _record_era(self, era: int) -> None:
         """Logs a change of the era that the source's answers name."""
         if era == self.era:
@@ -153,7 +178,8 @@
     def _record_success(self, result: str) -> None:
         """Records a successful call as soon as its response arrives."""
         self._count_call(self.source, result)
-        self.retry_s = RETRY_MIN_S
+        if not self.lost_again:
+            self.retry_s = RETRY_MIN_S
         self.failures = 0
         now = self.applier.clock()
         self.applier.outage.end(now)
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -198,8 +198,8 @@
         if own_index is None:
             return
         summary = self.relays.summarize(
-            self.mirrors[wire.OPERATOR_TABLE].changed_version,
-            self.mirrors[wire.SERVER_TABLE].changed_version,
+            self.mirrors[wire.OPERATOR_TABLE].report(),
+            self.mirrors[wire.SERVER_TABLE].report(),
             now,
         )
         datagram = peer_messages.encode_digest(
@@ -223,11 +223,13 @@
         limits: Mapping[models.ServerId, server_limits.LimitReport],
         demand: list[peer_messages.EncodedDemand] | None = None,
     ) -> peer_messages.Heartbeat:
+        operators = self.mirrors[wire.OPERATOR_TABLE].report()
+        servers = self.mirrors[wire.SERVER_TABLE].report()
         return peer_messages.Heartbeat(
             peer_messages.encode_host(self.fleet.own),
             self.fleet.own_state,
-            self.mirrors[wire.OPERATOR_TABLE].changed_version,
-            self.mirrors[wire.SERVER_TABLE].changed_version,
+            operators.version.number,
+            servers.version.number,
             usages,
             peer_messages.encode_work(
                 self.placing.health.in_flight_by_server()
@@ -238,6 +240,7 @@
             ),
             peer_messages.encode_limits(limits, self.applier.view.servers),
             demand,
+            peer_messages.encode_eras(operators, servers),
         )
 
     def _handle_heartbeat(
@@ -250,7 +253,7 @@
         member = self.fleet.record_state(host, heartbeat.state, now)
         if member is None:
             return
-        member.update_versions(heartbeat.op_version, heartbeat.servers_version)
+        member.update_tables(*peer_messages.decode_tables(heartbeat))
         if is_new or never_heard:
             self.quotas.drop_peer(host.id)
             self._reply_to_new_host(host, now)
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -1,6 +1,7 @@
 """An entry host's process: creates, runs and stops its components."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 import contextlib
 import dataclasses
 import os
@@ -80,6 +81,14 @@
 # Interval at which the host retries to announce itself in the host table while
 # the store does not answer.
 ANNOUNCE_RETRY_S = 1.0
+# After a restore of the store, each host writes its row again at a random
+# moment within this time, in seconds, so that not all write at once.
+ANNOUNCE_SPREAD_S = 4.0
+# How long a starting host waits for a first heartbeat of a peer, which may know
+# rows that the store has lost, in seconds.
+PEER_CHECK_S = 1.0
+# Time within which a ready peer replies to a starting host, in seconds.
+PEER_REPLY_S = 0.25
 
 
 class Host:
@@ -130,6 +139,9 @@
             own, settings.zones, self.waits.host_timeout_s
         )
         self.view = views.View(settings.zones)
+        self.view.awaits_peers = True
+        self.started_at = clock()
+        self.is_announced = False
         self.health = health.Health(
             outliers.Outliers(
                 settings.host, lambda: self.fleet.live_ids(clock())
@@ -285,23 +297,42 @@
         self.stopping.set()
 
     async def _announce(self) -> None:
-        """Writes this host's row, then reads the other hosts from the table."""
-        own = self.fleet.own
-        row = msgspec.json.encode(
-            {"ip": own.ip, "zone": own.zone, "started_ms": own.started_ms}
-        )
+        """Keeps this host's row in the store and learns the other hosts."""
+        await self._retry(self._write_own_row)
+        await self._retry(self._learn_hosts)
+        self.is_announced = True
+        self.gossip.send_heartbeat()
+        while True:
+            era = self.store.era
+            while max(m.era for m in self.mirrors.values()) <= era:
+                await asyncio.sleep(ANNOUNCE_RETRY_S)
+            # A restored store may have lost the row.
+            await asyncio.sleep(random.uniform(0.0, ANNOUNCE_SPREAD_S))
+            await self._retry(self._write_own_row)
+            logs.log_event("announced_again", era=self.store.era)
+
+    async def _retry(self, call: Callable[[], Awaitable[None]]) -> None:
+        """Makes a call of the store until it succeeds."""
         while True:
             try:
-                await self.store.write(HOST_TABLE, own.id, row)
-                page = await self.store.read_table(HOST_TABLE)
-                break
+                await call()
+                return
             except exceptions.PlatformError as error:
                 logs.log_event("announce_failed", error=str(error))
                 await asyncio.sleep(ANNOUNCE_RETRY_S)
+
+    async def _write_own_row(self) -> None:
+        own = self.fleet.own
+        row = msgspec.json.encode(
+            {"ip": own.ip, "zone": own.zone, "started_ms": own.started_ms}
+        )
+        await self.store.write(HOST_TABLE, own.id, row)
+
+    async def _learn_hosts(self) -> None:
+        page = await self.store.read_table(HOST_TABLE)
         now = self.loop.time()
         for entry in page.rows:
             self._learn_host(entry, now)
-        self.gossip.send_heartbeat()
 
     def _learn_host(self, entry: wire.Row, now: float) -> None:
         try:
@@ -323,6 +354,8 @@
             interval_s = STARTING_CHECK_S if starting else waits.HOUSEKEEPING_S
             await asyncio.sleep(interval_s)
             self.applier.drop_missing()
+            for mirror in self.mirrors.values():
+                self.applier.expire(mirror)
             now = self.loop.time()
             self.connection_pools.close_expired(now)
             self.limit_tracker.drop_absent(now)
@@ -373,12 +406,36 @@
         logs.log_event("reloaded", changed=changed, at_next_start=fixed)
 
     def _update_state(self) -> None:
-        known = self.view.configuration is not None and self.view.servers_known
-        if known and self.fleet.own_state is members.HostState.STARTING:
+        if self.view.awaits_peers and self._has_asked_peers():
+            self.view.awaits_peers = False
+        starting = self.fleet.own_state is members.HostState.STARTING
+        if starting and self.view.is_ready():
             self.fleet.own_state = members.HostState.READY
             logs.log_event("ready")
             self.gossip.send_heartbeat()
 
+    def _has_asked_peers(self) -> bool:
+        """Returns whether peers have told what the store may have lost.
+
+        While a host starts, the store may have just been restored from an older
+        copy, and only peers know what was confirmed since.
+        """
+        now = self.loop.time()
+        age_s = now - self.started_at
+        if age_s >= self.waits.bounds.stable_s:
+            # All hosts that the store serves have read it again by then.
+            return True
+        live = self.fleet.live(now)
+        if not live:
+            others = set(self.settings.seeds) - {self.settings.ip}
+            is_alone = not others and not self.fleet.peers
+            return (self.is_announced and is_alone) or age_s >= PEER_CHECK_S
+        states = {member.state for member in live}
+        if members.HostState.READY not in states and age_s < PEER_REPLY_S:
+            # Only hosts that have just started have replied so far.
+            return False
+        return self.view.servers_known and self.table_sync.knows_confirmed()
+
     def _forget_server(self, server: models.ServerId) -> None:
         self.health.forget(server)
         self.placing.saturation.forget(server)
--- a/src/banyanshed/gateway/peer_messages.py
+++ b/src/banyanshed/gateway/peer_messages.py
@@ -5,6 +5,8 @@
 """
 
 from collections.abc import Mapping, Sequence
+import dataclasses
+import math
 
 import msgspec
 import xxhash
@@ -17,6 +19,7 @@
 from banyanshed.steering import outliers
 from banyanshed.steering import quotas
 from banyanshed.steering import relays
+from banyanshed.steering import restores
 from banyanshed.steering import views
 
 RATE_SCALE = 10.0
@@ -26,6 +29,7 @@
 # Largest encoded rate, in requests per second.
 MAX_LIMIT = 1e9
 NO_LIMIT = -1
+FOREVER = -1
 
 
 class EncodedHost(msgspec.Struct, array_like=True, frozen=True):
@@ -87,10 +91,23 @@
     rate: int
 
 
+class EncodedEras(msgspec.Struct, array_like=True, frozen=True):
+    """Eras of a host's tables, and what it keeps from before a restore.
+
+    The latter are fingerprints, 0 for none, and left out if both are 0.
+    """
+
+    op: int = 0
+    servers: int = 0
+    op_confirmed: int = 0
+    servers_confirmed: int = 0
+
+
 class Heartbeat(msgspec.Struct, array_like=True, tag="b", frozen=True):
     """What a host reports about itself.
 
-    Heartbeats in between the regular ones have no `demand`.
+    Heartbeats in between the regular ones have no `demand`. The versions are
+    numbers within the eras in `tables`.
     """
 
     host: EncodedHost
@@ -103,6 +120,7 @@
     evidence: list[EncodedEvidence]
     limits: list[EncodedLimit] = []
     demand: list[EncodedDemand] | None = None
+    tables: EncodedEras = EncodedEras()
 
 
 class Contacts(msgspec.Struct, array_like=True, tag="c", frozen=True):
@@ -119,11 +137,30 @@
     version: int
 
 
+class EncodedConfirmed(msgspec.Struct, array_like=True, frozen=True):
+    """A row that is kept from before a restore of the store.
+
+    The number belongs to the value, the era and the version to the transaction
+    that is kept: the same one, or the removal of the row. The time for which
+    it is still held is in milliseconds, or FOREVER.
+    """
+
+    key: str
+    value: bytes
+    number: int
+    is_removed: bool
+    era: int
+    version: int
+    held_ms: int
+
+
 class EncodedTable(msgspec.Struct, array_like=True, frozen=True):
     """All rows of a table, or changes of it."""
 
     version: int
     rows: list[EncodedRow]
+    era: int = 0
+    confirmed: list[EncodedConfirmed] = []
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d", frozen=True):
@@ -142,6 +179,7 @@
     evidence: list[EncodedEvidence]
     limits: list[EncodedLimit] = []
     demand: list[EncodedDemand] = []
+    tables: EncodedEras = EncodedEras()
 
 
 _MESSAGE = msgspec.msgpack.Decoder(Heartbeat | Contacts | Digest)
@@ -234,8 +272,7 @@
         states |= dict.fromkeys(digest.leaving, members.HostState.LEAVING)
         return relays.Summary(
             decode_host(digest.relay),
-            digest.op_version,
-            digest.servers_version,
+            *decode_tables(digest),
             states,
             [decode_host(entry) for entry in digest.named],
             decode_usages(digest.usages),
@@ -261,27 +298,104 @@
     return _MESSAGE.decode(data)
 
 
-def encode_table(mirror: mirrors.Mirror) -> bytes:
-    """Encodes all rows of a table."""
+def encode_table(mirror: mirrors.Mirror, now: float) -> bytes:
+    """Encodes all rows of a table, and what is kept beside them."""
+    confirmed = mirror.confirmed_page()
     rows = tuple(mirror.rows.values())
-    return encode_page(wire.Page(rows, mirror.version, False))
+    return encode_page(dataclasses.replace(confirmed, rows=rows), now)
 
 
-def encode_page(page: wire.Page) -> bytes:
+def encode_page(page: wire.Page, now: float) -> bytes:
     """Encodes a page of a table's rows."""
     rows = [EncodedRow(row.key, row.value, row.version) for row in page.rows]
-    return encode(EncodedTable(page.version, rows))
+    confirmed = []
+    if isinstance(page, mirrors.PeerPage):
+        confirmed = [
+            _encode_confirmed(key, entry, now) for key, entry in page.confirmed
+        ]
+    return encode(EncodedTable(page.version, rows, page.era, confirmed))
 
 
-def decode_table(data: bytes) -> wire.Page:
+def decode_table(data: bytes, table: str, now: float) -> mirrors.PeerPage:
     """Decodes rows of a table.
 
+    Args:
+        data: The encoded rows.
+        table: Name of the table.
+        now: Current time in seconds.
+
     Raises:
         msgspec.MsgspecError: The bytes are not a valid table.
     """
-    entry = _TABLE.decode(data)
-    rows = tuple(wire.Row(r.key, r.value, r.version) for r in entry.rows)
-    return wire.Page(rows, entry.version, False)
+    encoded = _TABLE.decode(data)
+    rows = tuple(wire.Row(r.key, r.value, r.version) for r in encoded.rows)
+    confirmed = tuple(
+        (entry.key, _decode_confirmed(entry, table, now))
+        for entry in encoded.confirmed
+    )
+    return mirrors.PeerPage(
+        rows, encoded.version, False, encoded.era, confirmed
+    )
+
+
+def encode_eras(
+    operators: members.TableReport, servers: members.TableReport
+) -> EncodedEras:
+    """Encodes the eras of a host's tables, and what it keeps beside them."""
+    return EncodedEras(
+        operators.version.era,
+        servers.version.era,
+        operators.confirmed,
+        servers.confirmed,
+    )
+
+
+def decode_tables(
+    message: Heartbeat | Digest,
+) -> tuple[members.TableReport, members.TableReport]:
+    """Returns what a host reports of its two tables, the operators' first."""
+    eras = message.tables
+    return (
+        members.TableReport(
+            models.TableVersion(eras.op, message.op_version), eras.op_confirmed
+        ),
+        members.TableReport(
+            models.TableVersion(eras.servers, message.servers_version),
+            eras.servers_confirmed,
+        ),
+    )
+
+
+def _encode_confirmed(
+    key: str, entry: restores.Confirmed, now: float
+) -> EncodedConfirmed:
+    held_ms = FOREVER
+    if entry.held_until != math.inf:
+        held_ms = max(0, round((entry.held_until - now) * 1000.0))
+    return EncodedConfirmed(
+        key,
+        entry.state.value,
+        entry.state.number,
+        entry.is_removed,
+        entry.written_at.era,
+        entry.written_at.number,
+        held_ms,
+    )
+
+
+def _decode_confirmed(
+    entry: EncodedConfirmed, table: str, now: float
+) -> restores.Confirmed:
+    held_until = math.inf
+    if entry.held_ms != FOREVER:
+        held_until = now + entry.held_ms / 1000.0
+    order = wire.decode_order(table, entry.key, entry.value)
+    return restores.Confirmed(
+        restores.RowState(entry.value, entry.number, order),
+        entry.is_removed,
+        models.TableVersion(entry.era, entry.version),
+        held_until,
+    )
 
 
 def encode_digest(
@@ -296,8 +410,8 @@
     return encode(
         Digest(
             encode_host(summary.relay),
-            summary.op_version,
-            summary.servers_version,
+            summary.operators.version.number,
+            summary.servers.version.number,
             by_state[members.HostState.READY],
             by_state[members.HostState.STARTING],
             by_state[members.HostState.LEAVING],
@@ -308,6 +422,7 @@
             encode_evidence(summary.evidence),
             encode_limits(summary.limits, servers),
             encode_demand(summary.demand),
+            encode_eras(summary.operators, summary.servers),
         )
     )
 
--- a/src/banyanshed/gateway/sources.py
+++ b/src/banyanshed/gateway/sources.py
@@ -6,6 +6,7 @@
 hosts read from a relay. A host that no relay serves falls back to the store.
 """
 
+import asyncio
 import dataclasses
 from typing import Protocol
 
@@ -15,10 +16,12 @@
 from banyanshed import exceptions
 from banyanshed.gateway import clients
 from banyanshed.gateway import logs
+from banyanshed.gateway import mirrors
 from banyanshed.gateway import peer_messages
 from banyanshed.platform import store as store_lib
 from banyanshed.platform import wire
 from banyanshed.steering import members
+from banyanshed.steering import models
 from banyanshed.steering import relays as relays_lib
 
 # Duration of a long poll of the store. Relays poll more often, because the
@@ -31,6 +34,7 @@
 PEER_TIMEOUT_S = 1.0
 COPY_TIMEOUT_S = 2.0
 TABLES_PATH = "/tables/"
+CONFIRMED_QUERY = "confirmed"
 
 
 class TableReader(Protocol):
@@ -40,7 +44,7 @@
         """Returns all rows of a table."""
 
     async def read_changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: models.TableVersion, wait_s: float
     ) -> wire.Page:
         """Waits for changes of a table and returns them in order."""
 
@@ -61,8 +65,16 @@
         """
         return await self._call(table, "", COPY_TIMEOUT_S)
 
+    async def read_confirmed(self, table: str) -> mirrors.PeerPage:
+        """Returns what the peer keeps from before a restore of the store.
+
+        Raises:
+            PlatformError: The peer did not answer or does not have the table.
+        """
+        return await self._call(table, f"?{CONFIRMED_QUERY}", COPY_TIMEOUT_S)
+
     async def read_changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: models.TableVersion, wait_s: float
     ) -> wire.Page:
         """Waits for changes of a table and returns them in order.
 
@@ -71,7 +83,8 @@
             PlatformError: The peer did not answer, or the store does not
                 answer it.
         """
-        query = f"?after={after}&wait_ms={round(wait_s * 1000.0)}"
+        wait_ms = round(wait_s * 1000.0)
+        query = f"?after={after.number}&era={after.era}&wait_ms={wait_ms}"
         return await self._call(table, query, wait_s + PEER_TIMEOUT_S)
 
     def close(self) -> None:
@@ -82,7 +95,7 @@
 
     async def _call(
         self, table: str, query: str, timeout_s: float
-    ) -> wire.Page:
+    ) -> mirrors.PeerPage:
         client = self.clients.get(table)
         if client is None:
             client = clients.HttpClient(self.address)
@@ -94,7 +107,8 @@
         if response.status != 200:
             raise exceptions.StoreUnavailable(f"status {response.status}")
         try:
-            return peer_messages.decode_table(response.body)
+            now = asyncio.get_running_loop().time()
+            return peer_messages.decode_table(response.body, table, now)
         except msgspec.MsgspecError as error:
             raise exceptions.StoreUnavailable(str(error)) from error
 
--- a/src/banyanshed/gateway/table_sync.py
+++ b/src/banyanshed/gateway/table_sync.py
@@ -16,6 +16,7 @@
 from banyanshed.gateway import sources
 from banyanshed.platform import wire
 from banyanshed.steering import members
+from banyanshed.steering import models
 from banyanshed.steering import relays as relays_lib
 from banyanshed.steering import waits as waits_lib
 
@@ -55,30 +56,43 @@
         mirror = self.mirrors.get(path.rpartition("/")[2])
         if mirror is None or not mirror.is_known:
             return messages.Response(404)
+        now = self.loop.time()
         if not query:
+            body = peer_messages.encode_table(mirror, now)
+            return messages.Response(200, (), body)
+        if query == sources.CONFIRMED_QUERY:
+            page = mirror.confirmed_page()
             return messages.Response(
-                200, (), peer_messages.encode_table(mirror)
+                200, (), peer_messages.encode_page(page, now)
             )
         fields = parse.parse_qs(query)
         try:
-            after = int(fields["after"][0])
+            # Hosts of earlier releases don't name the era.
+            era = int(fields.get("era", [str(mirror.era)])[0])
+            after = models.TableVersion(era, int(fields["after"][0]))
             wait_s = int(fields["wait_ms"][0]) / 1000.0
         except (KeyError, ValueError):
             return messages.Response(400)
         return await self._serve_changes(mirror, after, wait_s)
 
     async def _serve_changes(
-        self, mirror: mirrors.Mirror, after: int, wait_s: float
+        self,
+        mirror: mirrors.Mirror,
+        after: models.TableVersion,
+        wait_s: float,
     ) -> messages.Response:
-        await mirror.wait_for_change(after, min(wait_s, MAX_WAIT_S))
-        if not mirror.follows_store:
+        await mirror.wait_for_change(
+            after.era, after.number, min(wait_s, MAX_WAIT_S)
+        )
+        if not mirror.follows_store or mirror.era < after.era:
             # Hosts that followed each other without the store would all miss
             # new changes.
             return messages.Response(503)
-        page = mirror.changes_after(after)
-        if page is None:
+        page = mirror.changes_after(after.number)
+        if page is None or mirror.era > after.era:
             return messages.Response(410)
-        return messages.Response(200, (), peer_messages.encode_page(page))
+        body = peer_messages.encode_page(page, self.loop.time())
+        return messages.Response(200, (), body)
 
     async def run(self) -> None:
         """Copies tables of which peers have newer versions, until cancelled."""
@@ -91,6 +105,7 @@
         while True:
             await asyncio.sleep(self._waits(mirror).check_interval_s)
             now = self.loop.time()
+            await self._adopt_confirmed(mirror, now)
             newer_peers = self._newer_peers(mirror, now)
             if not newer_peers:
                 behind_since = None
@@ -111,13 +126,71 @@
     ) -> list[members.Member]:
         newer_peers = []
         for member in self.fleet.live(now):
-            version = member.servers_version
-            if mirror.table == wire.OPERATOR_TABLE:
-                version = member.op_version
-            if version > mirror.version:
+            if _report(member, mirror).version > mirror.table_version():
                 newer_peers.append(member)
         return newer_peers
 
+    def knows_confirmed(self) -> bool:
+        """Returns whether this host knows all that live peers keep.
+
+        It does not while a peer keeps rows from before a restore of the store
+        that this host has not seen, or has not noticed the restore yet.
+        """
+        now = self.loop.time()
+        for mirror in self.mirrors.values():
+            if self._peer_with_unknown_rows(mirror, now) is not None:
+                return False
+            for member in self.fleet.live(now):
+                version = _report(member, mirror).version
+                if 0 < version.era < mirror.era:
+                    return False
+        return True
+
+    def _peer_with_unknown_rows(
+        self, mirror: mirrors.Mirror, now: float
+    ) -> members.Member | None:
+        """Returns a peer that keeps rows which this host has not seen."""
+        for member in self.fleet.live(now):
+            report = _report(member, mirror)
+            if report.version.era != mirror.era or not mirror.is_known:
+                continue
+            if report.confirmed not in mirror.overlay.merged:
+                return member
+        return None
+
+    async def _adopt_confirmed(
+        self, mirror: mirrors.Mirror, now: float
+    ) -> None:
+        """Adopts what a peer keeps from before a restore of the store."""
+        member = self._peer_with_unknown_rows(mirror, now)
+        if member is None:
+            return
+        tables = sources.PeerTables((member.host.ip, self.port))
+        try:
+            async with asyncio.timeout(self._waits(mirror).copy_timeout_s):
+                page = await tables.read_confirmed(mirror.table)
+        except (TimeoutError, exceptions.PlatformError) as error:
+            logs.log_event(
+                "peer_copy_failed",
+                peer=member.host.id,
+                error=str(error) or "timeout",
+            )
+            return
+        finally:
+            tables.close()
+        mirror.overlay.merged.add(_report(member, mirror).confirmed)
+        changed = mirror.adopt(page, self.loop.time())
+        logs.log_event(
+            "confirmed_rows_adopted",
+            table=mirror.table,
+            peer=member.host.id,
+            era=page.era,
+            rows=len(page.confirmed),
+            changed=len(changed),
+        )
+        if changed:
+            self.applier.apply(mirror, changed, f"peer {member.host.id}")
+
     def _copy_delay_s(
         self, mirror: mirrors.Mirror, newer_peers: list[members.Member]
     ) -> float:
@@ -170,14 +243,24 @@
             return False
         finally:
             tables.close()
-        changed = mirror.replace(page)
+        changed = self.applier.replace(mirror, page)
         logs.log_event(
             "table_copied",
             table=mirror.table,
             peer=member.host.id,
+            era=page.era,
             version=page.version,
             changed=len(changed),
         )
         max_age_s = self.applier.waits.max_copy_age_s(waits)
         self.applier.apply(mirror, changed, f"peer {member.host.id}", max_age_s)
         return True
+
+
+def _report(
+    member: members.Member, mirror: mirrors.Mirror
+) -> members.TableReport:
+    """Returns what a peer reports of its copy of a mirror's table."""
+    if mirror.table == wire.OPERATOR_TABLE:
+        return member.operators
+    return member.servers
--- a/src/banyanshed/platform/settings.py
+++ b/src/banyanshed/platform/settings.py
@@ -24,6 +24,10 @@
     "stable_s": "stable",
 }
 
+# A backend server's entry is removed after this many of its heartbeats are
+# missing.
+LAPSE_BEATS = 3
+
 T = TypeVar("T")
 
 
@@ -178,6 +182,9 @@
             bound = self._read_bound(bounds, name, durations.decode)
             if bound is not None:
                 given[field] = bound
+        beat_s = self._read("beat", durations.decode, True)
+        if beat_s is not None:
+            given["lapse_s"] = LAPSE_BEATS * beat_s
         return models.Bounds(**given)
 
     def _add_finding(self, place: str, code: str, message: str) -> None:
--- a/src/banyanshed/platform/store.py
+++ b/src/banyanshed/platform/store.py
@@ -7,6 +7,7 @@
 from banyanshed import exceptions
 from banyanshed.platform import headers as header_names
 from banyanshed.platform import wire
+from banyanshed.steering import models
 
 # Timeout of a call, added to the duration of a long poll.
 CALL_TIMEOUT_S = 2.0
@@ -53,7 +54,13 @@
 
 
 class StoreClient:
-    """Calls the store, with separate connections for tables and writes."""
+    """Calls the store, with separate connections for tables and writes.
+
+    Attributes:
+        connect: Creates an HTTP client with a single connection.
+        clients: Connections by table, and one for writes.
+        era: Newest era that the store named.
+    """
 
     def __init__(self, connect: Callable[[], HttpClient]):
         """Initializes the client.
@@ -63,6 +70,7 @@
         """
         self.connect = connect
         self.clients: dict[str, HttpClient] = {}
+        self.era = 0
 
     async def read_table(self, table: str) -> wire.Page:
         """Returns all rows of a table; each page is a consistent snapshot.
@@ -71,7 +79,7 @@
             PlatformError: The store did not answer or rejected the call.
         """
         rows: list[wire.Row] = []
-        version = None
+        first: wire.Page | None = None
         start = ""
         while True:
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
@@ -81,16 +89,21 @@
             rows.extend(page.rows)
             # The first page's version is returned, so that a feed reads all
             # changes made since, including those already in later pages.
-            version = page.version if version is None else version
+            first = first or page
+            if page.era != first.era:
+                raise exceptions.StoreUnavailable("restored during a read")
             if not page.more or not page.rows:
-                return wire.Page(tuple(rows), version, False, page.era)
+                return wire.Page(tuple(rows), first.version, False, first.era)
             start = page.rows[-1].key + "\0"
 
     async def read_changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: models.TableVersion, wait_s: float
     ) -> wire.Page:
         """Waits for changes of a table and returns them in order.
 
+        The store compares the number alone: a response of another era may lack
+        changes.
+
         Raises:
             HistoryLost: The store no longer has the changes.
             PlatformError: The store did not answer or rejected the call.
@@ -98,7 +111,7 @@
         wait_s = min(wait_s, MAX_FEED_WAIT_S)
         query = {
             "table": table,
-            "after": str(after),
+            "after": str(after.number),
             "waitMs": str(int(wait_s * 1000)),
         }
         return await self._read("rows-feed", query, wait_s, table)
@@ -160,4 +173,6 @@
         if client is None:
             client = self.connect()
             self.clients[connection_key] = client
-        return await client.call(method, target, body, timeout_s)
+        response = await client.call(method, target, body, timeout_s)
+        self.era = max(self.era, header_names.decode_era(response.headers))
+        return response
--- a/src/banyanshed/platform/wire.py
+++ b/src/banyanshed/platform/wire.py
@@ -4,6 +4,7 @@
 import binascii
 from collections.abc import Sequence
 import dataclasses
+import functools
 from typing import Any
 
 import msgspec
@@ -139,6 +140,8 @@
 
 class _WireStatus(msgspec.Struct):
     state: str
+    # Number of what the server has said since its start.
+    seq: int = 0
     # How long the server stays cold after the entry was written.
     coldLeft: str = "0ms"  # noqa: N815
 
@@ -196,6 +199,7 @@
     return msgspec.json.encode({"addrs": list(addresses), "ttl": f"{ttl_s:g}s"})
 
 
+@functools.lru_cache(maxsize=2)
 def decode_configuration(value: bytes) -> models.Configuration:
     """Decodes a configuration.
 
@@ -237,6 +241,32 @@
         raise MalformedMessage(f"server {id_}: {error}") from error
 
 
+def decode_order(
+    table: str, key: str, value: bytes
+) -> models.WriterOrder | None:
+    """Decodes the number that a row's writer gave it.
+
+    Args:
+        table: Table of the row.
+        key: Key of the row.
+        value: Value of the row.
+
+    Returns:
+        The number; None if rows of this kind have none, or if the row can't be
+        decoded.
+    """
+    try:
+        if table == OPERATOR_TABLE and key == CONFIGURATION_KEY:
+            configuration = decode_configuration(value)
+            return models.WriterOrder(configuration.version, 0)
+        if table == SERVER_TABLE:
+            wire = _SERVER.decode(value)
+            return models.WriterOrder(wire.born, wire.status.seq)
+    except (msgspec.MsgspecError, MalformedMessage):
+        return None
+    return None
+
+
 def _decode_row(wire: _WireRow) -> Row:
     if wire.deleted or wire.value is None:
         return Row(wire.key, None, wire.ver)
--- a/src/banyanshed/steering/members.py
+++ b/src/banyanshed/steering/members.py
@@ -47,6 +47,24 @@
     started_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableReport:
+    """What a host reports of its copy of a table.
+
+    Attributes:
+        version: Newest version that it has.
+        confirmed: Fingerprint of what it keeps from before a restore of the
+            store; 0 if there is nothing.
+    """
+
+    version: models.TableVersion = models.NO_TABLE
+    confirmed: int = 0
+
+    def merge(self, newer: "TableReport") -> "TableReport":
+        """Returns the newer report; messages may arrive out of order."""
+        return newer if newer.version >= self.version else self
+
+
 @dataclasses.dataclass(slots=True)
 class Member:
     """A peer as known to this host.
@@ -56,21 +74,23 @@
         state: State last reported; STARTING if it was never heard from.
         heard_at: When it was last heard from; None if never.
         discovered_at: When this host first knew of it.
-        op_version: Newest version of the configuration table that it has.
-        servers_version: Newest version of the server table that it has.
+        operators: What it reports of the configuration table.
+        servers: What it reports of the server table.
     """
 
     host: Host
     state: HostState
     heard_at: float | None
     discovered_at: float
-    op_version: int = 0
-    servers_version: int = 0
-
-    def update_versions(self, op_version: int, servers_version: int) -> None:
-        """Updates its table versions; messages may arrive out of order."""
-        self.op_version = max(self.op_version, op_version)
-        self.servers_version = max(self.servers_version, servers_version)
+    operators: TableReport = TableReport()
+    servers: TableReport = TableReport()
+
+    def update_tables(
+        self, operators: TableReport, servers: TableReport
+    ) -> None:
+        """Updates what it reports of its tables."""
+        self.operators = self.operators.merge(operators)
+        self.servers = self.servers.merge(servers)
 
 
 class Members:
--- a/src/banyanshed/steering/models.py
+++ b/src/banyanshed/steering/models.py
@@ -19,6 +19,38 @@
 Address = tuple[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class WriterOrder:
+    """Position of a row in the order in which its writer wrote it.
+
+    Unlike the store's numbers it does not depend on the store.
+
+    Attributes:
+        incarnation: Version of a configuration, or Unix time of the start of a
+            backend server in milliseconds.
+        sequence: Number of the change within the incarnation.
+    """
+
+    incarnation: int
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class TableVersion:
+    """How new a copy of a table is.
+
+    Attributes:
+        era: Era of the store; rises when it is restored from an older copy.
+        number: Number of the newest transaction within the era.
+    """
+
+    era: int = 0
+    number: int = 0
+
+
+NO_TABLE = TableVersion()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteTarget:
     """A service that a route sends requests to, with its weight.
@@ -222,6 +254,8 @@
         revoke_s: Seconds until a revoked key is refused.
         stable_s: Seconds without faults after which the other deadlines
             apply to a host.
+        lapse_s: Seconds of silence after which the store drops a server's
+            entry.
     """
 
     drain_s: float = 2.5
@@ -229,3 +263,4 @@
     evacuate_s: float = 5.0
     revoke_s: float = 5.0
     stable_s: float = 3.0
+    lapse_s: float = 4.5
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -42,8 +42,8 @@
 
     Attributes:
         relay: The relay that sends it.
-        op_version: Newest version of the configuration table at the relay.
-        servers_version: Newest version of the server table at the relay.
+        operators: The relay's copy of the configuration table.
+        servers: The relay's copy of the server table.
         states: States of the region's live hosts, by `hash_host`.
         identities: Identities of some of these hosts.
         usages: Sums of the customers' counters.
@@ -55,8 +55,8 @@
     """
 
     relay: members.Host
-    op_version: int
-    servers_version: int
+    operators: members.TableReport
+    servers: members.TableReport
     states: Mapping[int, members.HostState]
     identities: Sequence[members.Host]
     usages: Sequence[quotas_lib.Usage]
@@ -139,13 +139,16 @@
         return partners
 
     def summarize(
-        self, op_version: int, servers_version: int, now: float
+        self,
+        operators: members.TableReport,
+        servers: members.TableReport,
+        now: float,
     ) -> Summary:
         """Returns the summary that this host sends as a relay.
 
         Args:
-            op_version: Newest version of the configuration table here.
-            servers_version: Newest version of the server table here.
+            operators: This host's copy of the configuration table.
+            servers: This host's copy of the server table.
             now: Current time in seconds.
         """
         near = self.fleet.live_in_region(now)
@@ -160,8 +163,8 @@
                 in_flight[server] = in_flight.get(server, 0) + count
         return Summary(
             self.fleet.own,
-            op_version,
-            servers_version,
+            operators,
+            servers,
             states,
             self._select_identities(near, now),
             self.quotas.region_report(now),
@@ -223,7 +226,7 @@
             self.placing.drop_peer(member.host.id)
         relay = self.fleet.peers.get(summary.relay.id)
         if relay is not None:
-            relay.update_versions(summary.op_version, summary.servers_version)
+            relay.update_tables(summary.operators, summary.servers)
 
     def _update_main_relay(
         self, region: models.RegionName, relay: models.HostId, now: float
--- a/src/banyanshed/steering/routing.py
+++ b/src/banyanshed/steering/routing.py
@@ -113,7 +113,7 @@
     def plan(self, request: RoutingRequest) -> Plan | Refusal:
         """Returns how to serve a request, or why to reject it."""
         configuration = self.view.configuration
-        if configuration is None or not self.view.servers_known:
+        if configuration is None or not self.view.is_ready():
             return Refusal(Reason.NO_CONFIGURATION, 503, STARTUP_RETRY_AFTER_S)
         route = configuration.find_route(request.hostname, request.path)
         if route is None:
--- a/src/banyanshed/steering/views.py
+++ b/src/banyanshed/steering/views.py
@@ -29,6 +29,17 @@
     """Configuration and servers of the fleet as known to one host.
 
     Times are in seconds of one monotonic clock, which callers pass as `now`.
+
+    Attributes:
+        zones: Region of each availability zone.
+        configuration: The configuration in force; None before the first.
+        evacuated_zones: Zones whose servers get nothing.
+        evacuation_ended_at: When the last evacuation of a zone ended.
+        servers: Known servers by id.
+        servers_known: Whether the table of the servers has been read.
+        awaits_peers: Whether peers may know of rows that the store has lost.
+        servers_version: Number of changes of the set of servers.
+        by_service: Known servers by service.
     """
 
     def __init__(self, zones: dict[models.ZoneName, models.RegionName]):
@@ -43,21 +54,38 @@
         self.evacuation_ended_at: dict[models.ZoneName, float] = {}
         self.servers: dict[models.ServerId, Server] = {}
         self.servers_known = False
+        self.awaits_peers = False
         self.servers_version = 0
         self.by_service: dict[models.ServiceName, list[Server]] = {}
 
-    def accept_configuration(self, new: models.Configuration) -> bool:
+    def accept_configuration(
+        self, new: models.Configuration, is_rewritten: bool = False
+    ) -> bool:
         """Accepts a configuration that is newer than the one in force.
 
+        Args:
+            new: The configuration.
+            is_rewritten: Whether its content differs. A version is given out
+                again after a restore of the store has lost it.
+
         Returns:
             Whether it was accepted.
         """
         current = self.configuration
-        if current is not None and new.version <= current.version:
-            return False
+        if current is not None:
+            if new.version < current.version:
+                return False
+            if new.version == current.version and not is_rewritten:
+                return False
         self.configuration = new
         return True
 
+    def is_ready(self) -> bool:
+        """Returns whether requests can be served with what is known."""
+        if self.configuration is None or self.awaits_peers:
+            return False
+        return self.servers_known
+
     def set_evacuated(
         self, zones: set[models.ZoneName], now: float
     ) -> tuple[set[models.ZoneName], set[models.ZoneName]]:
--- a/standins/store.py
+++ b/standins/store.py
@@ -90,7 +90,10 @@
         return Copy(dict(self.rows), self.version)
 
     async def restore(self, copy: Copy) -> None:
-        """Continues from a copy; its later versions are given out again."""
+        """Continues from a copy; its later versions are given out again.
+
+        Calls that are waiting for changes fail.
+        """
         async with self.changed:
             self.rows = dict(copy.rows)
             self.version = copy.version
@@ -141,14 +144,19 @@
     async def _feed(self, query: dict[str, str]) -> messages.Response:
         after = int(query["after"])
         wait_s = int(query["waitMs"]) / 1000.0
+        era = self.era
         try:
             async with asyncio.timeout(wait_s), self.changed:
-                while after <= self.version and not self._changes_after(
-                    query["table"], after
+                while (
+                    after <= self.version
+                    and self.era == era
+                    and not self._changes_after(query["table"], after)
                 ):
                     await self.changed.wait()
         except TimeoutError:
             pass
+        if self.era != era:
+            return messages.Response(503)
         if not self.history_from <= after <= self.version:
             return messages.Response(410)
         rows = [
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -38,7 +38,8 @@
         self.changed = asyncio.Event()
 
     async def read_table(self, table):
-        return await self.read_changes(table, -1, 0.0)
+        after = models.TableVersion(0, -1)
+        return await self.read_changes(table, after, 0.0)
 
     async def read_changes(self, table, after, wait_s):
         await asyncio.sleep(0.004)
@@ -49,7 +50,7 @@
             rows = [
                 row
                 for of_table, row in self.changes
-                if of_table == table and row.version > after
+                if of_table == table and row.version > after.number
             ]
             if rows or self.loop.time() >= end_at:
                 return wire.Page(tuple(rows), len(self.changes), False)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -94,7 +94,9 @@
         own_index = sender.relays.own_index(now)
         if own_index is None:
             return
-        summary = sender.relays.summarize(1, 1, now)
+        summary = sender.relays.summarize(
+            members.TableReport(), members.TableReport(), now
+        )
         for partner in sender.relays.partners(own_index, now):
             self.sent_between_regions += 1
             receiver = self.by_ip[partner.ip]
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -7,6 +7,7 @@
 from banyanshed.gateway import mirrors
 from banyanshed.platform import wire
 from banyanshed.steering import relays
+from banyanshed.steering import restores
 from standins import store as store_lib
 from tests import gateway_fleet
 
@@ -156,9 +157,13 @@
     return wire.Row(key, value, version)
 
 
+def replace(mirror, page):
+    mirror.replace(page, restores.Holds(0.0, 0.0), 0.0)
+
+
 def test_a_mirror_returns_changes_and_deletions_after_a_version():
     mirror = mirrors.Mirror("t")
-    mirror.replace(wire.Page((row("a", 1), row("b", 2)), 5, False))
+    replace(mirror, wire.Page((row("a", 1), row("b", 2)), 5, False))
     mirror.merge(wire.Page((row("c", 6), row("a", 7, None)), 7, False))
     page = mirror.changes_after(5)
     assert [r.key for r in page.rows] == ["c", "a"]
@@ -173,7 +178,7 @@
     mirror = mirrors.Mirror("t")
     count = mirrors.MAX_DELETED + 5
     rows = tuple(row(f"k{n}", n + 1) for n in range(count))
-    mirror.replace(wire.Page(rows, count, False))
+    replace(mirror, wire.Page(rows, count, False))
     deletions = tuple(row(f"k{n}", count + n + 1, None) for n in range(count))
     mirror.merge(wire.Page(deletions, 2 * count, False))
     assert mirror.changes_after(count) is None
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -89,7 +89,7 @@
             lambda: clients.HttpClient(("10.0.0.1", 1), connect_s)
         )
         with pytest.raises(exceptions.StoreUnavailable):
-            await store.read_changes("op", 1, 20.0)
+            await store.read_changes("op", models.NO_TABLE, 20.0)
         return loop.time()
 
     assert virtual_time.run(call_store()) == pytest.approx(connect_s, abs=0.01)
