--- a/standins/servers.py
+++ b/standins/servers.py
@@ -66,10 +66,7 @@
 
     def reset(self) -> None:
         """Closes the connection with a TCP reset."""
-        sock = self.writer.get_extra_info("socket")
-        linger = struct.pack("ii", 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self.writer.transport.abort()
+        _reset(self.writer)
 
 
 async def respond_ok(exchange: Exchange) -> None:
@@ -88,6 +85,8 @@
             response.
         connections: Number of connections accepted.
         address: IP and port at which it listens, once started.
+        crashes: Number of times that its process ended.
+        writers: Open connections.
     """
 
     def __init__(self, id_: str, action: Action = respond_ok):
@@ -98,17 +97,39 @@
         self.cancelled = 0
         self.connections = 0
         self.address: tuple[str, int] = ("", 0)
+        self.crashes = 0
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
 
     async def start(self, stack: contextlib.AsyncExitStack, ip: str) -> None:
         """Listens until the exit stack closes."""
-        server = await asyncio.start_server(self._serve, ip, 0)
-        self.address = server.sockets[0].getsockname()[:2]
-        stack.callback(server.close)
+        await self._listen(ip, 0)
+        stack.callback(self._close)
+
+    def crash(self) -> None:
+        """Ends the server's process: nothing listens at its address."""
+        self.crashes += 1
+        self._close()
+        for writer in list(self.writers):
+            _reset(writer)
+
+    async def restart(self) -> None:
+        """Starts the process again at the same address."""
+        await self._listen(*self.address)
+
+    async def _listen(self, ip: str, port: int) -> None:
+        self.server = await asyncio.start_server(self._serve, ip, port)
+        self.address = self.server.sockets[0].getsockname()[:2]
+
+    def _close(self) -> None:
+        if self.server is not None:
+            self.server.close()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self.writers.add(writer)
         http = h11.Connection(h11.SERVER)
         with contextlib.suppress(OSError, h11.RemoteProtocolError):
             while not writer.is_closing():
@@ -117,6 +138,7 @@
                     break
                 await self._run_action(exchange, reader, http)
                 http = _next_cycle(http)
+        self.writers.discard(writer)
         writer.close()
 
     async def _read(
@@ -174,6 +196,14 @@
         await action
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection with a TCP reset."""
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def _next_cycle(http: h11.Connection) -> h11.Connection:
     """Returns a parser for the next request, with the bytes left over."""
     fresh = h11.Connection(h11.SERVER)
