Refuse a request that crashes the servers which run it, on all hosts

Cause: evidence was kept by server, and the cause travels with the request; each copy was a new request to every host, and an idempotent one was sent to a second server. Change: hosts report which requests were in flight when a server's process ended, judge alike (steering/suspects.py), and refuse a request after three endings; copies in flight are ended; one request at a time is tried again.

--- a/src/banyanshed/gateway/crashes.py
+++ b/src/banyanshed/gateway/crashes.py
@@ -1,6 +1,13 @@
-"""Finds out whether a server's process ended when a request was lost."""
+"""Keeps requests that crash backend servers from reaching more of them.
+
+After a lost connection the host finds out whether the server's process ended,
+tells its peers which request was in flight there, and stops the copies of a
+request that is refused.
+"""
 
 import asyncio
+from collections.abc import Callable, Iterable, Iterator
+import contextlib
 import enum
 
 import xxhash
@@ -9,13 +16,23 @@
 from banyanshed.gateway import logs
 from banyanshed.gateway import messages
 from banyanshed.gateway import metrics
+from banyanshed.gateway import peer_messages
 from banyanshed.gateway import pools
 from banyanshed.platform import headers as header_names
 from banyanshed.steering import models
 from banyanshed.steering import routing
+from banyanshed.steering import suspects as suspects_lib
 
 # Timeout of a connection that checks whether a server still runs, in seconds.
 CHECK_TIMEOUT_S = 0.3
+# Pause before a request is sent again after its server ended, in seconds: peers
+# may tell that copies of it ended other servers at the same time.
+RETRY_PAUSE_S = 0.06
+# How long a host that claims a trial listens for claims of others, in seconds.
+CLAIM_WAIT_S = 0.2
+# Least time after which a caller is told to come back, in seconds.
+MIN_RETRY_AFTER_S = 0.3
+REFUSED = "crashes_servers"
 
 
 class Finding(enum.Enum):
@@ -33,33 +50,110 @@
 
 
 class CrashDetector:
-    """Checks servers whose connections were lost, and logs what it finds."""
+    """Examines lost requests, and refuses those that crash servers.
+
+    Attributes:
+        suspects: What is known of such requests.
+        announce: Tells peers at once what is new; set by the host.
+    """
 
     def __init__(
         self,
+        suspects: suspects_lib.Suspects,
         connection_pools: pools.ConnectionPools,
         counters: metrics.Metrics,
     ):
         """Initializes the detector.
 
         Args:
+            suspects: What is known of requests that crash servers.
             connection_pools: Connections to backend servers.
             counters: Metrics to update.
         """
+        self.suspects = suspects
         self.connection_pools = connection_pools
         self.counters = counters
         self.loop = asyncio.get_running_loop()
+        self.announce: Callable[[], None] = lambda: None
         self.checks: dict[models.ServerId, asyncio.Task[Finding]] = {}
         self.examinations: set[asyncio.Task[None]] = set()
+        self.in_flight: dict[models.Fingerprint, set[clients.Connection]] = {}
+
+    def is_refused(self, fingerprint: models.Fingerprint) -> bool:
+        """Returns whether a request is refused, but for trials."""
+        return self.suspects.is_refused(fingerprint)
+
+    def retry_after_s(self, fingerprint: models.Fingerprint) -> float:
+        """Returns the seconds until a refused request may be tried again."""
+        wait_s = self.suspects.wait_s(fingerprint, self.loop.time())
+        return max(MIN_RETRY_AFTER_S, wait_s)
+
+    async def claim_trial(self, fingerprint: models.Fingerprint) -> bool:
+        """Returns whether this request is the trial of all hosts together."""
+        if not self.suspects.claim_trial(fingerprint, self.loop.time()):
+            return False
+        self._tell_peers()
+        await asyncio.sleep(CLAIM_WAIT_S)
+        is_own = self.suspects.owns_trial(fingerprint)
+        logs.log_event(
+            "trial_claimed",
+            fingerprint=format_fingerprint(fingerprint),
+            is_own=is_own,
+        )
+        return is_own
+
+    async def wait_for_judgement(self, fingerprint: models.Fingerprint) -> None:
+        """Waits until the evidence of all hosts on a request is known."""
+        while True:
+            pending_s = self.suspects.pending_s(fingerprint, self.loop.time())
+            if pending_s <= 0.0:
+                break
+            await asyncio.sleep(pending_s)
+        if self.suspects.is_suspected(fingerprint):
+            self.judge()
+
+    @contextlib.contextmanager
+    def track(
+        self,
+        fingerprint: models.Fingerprint,
+        connection: clients.Connection,
+    ) -> Iterator[None]:
+        """Tracks a request in flight, so that it can be stopped."""
+        connections = self.in_flight.setdefault(fingerprint, set())
+        connections.add(connection)
+        try:
+            yield
+        finally:
+            connections.discard(connection)
+            if not connections:
+                self.in_flight.pop(fingerprint, None)
+
+    def record_answer(self, fingerprint: models.Fingerprint) -> None:
+        """Records that a server answered a request."""
+        now = self.loop.time()
+        self._apply(self.suspects.record_answer(fingerprint, now))
+
+    def apply_reports(
+        self, reports: Iterable[suspects_lib.SuspectReport]
+    ) -> None:
+        """Applies what a peer reports."""
+        now = self.loop.time()
+        self._apply(self.suspects.apply_reports(reports, now))
+
+    def judge(self) -> None:
+        """Judges what is known by now."""
+        self._apply(self.suspects.judge(self.loop.time()))
 
     def examine(
         self,
         request: messages.Request,
+        fingerprint: models.Fingerprint,
         plan: routing.Plan,
         server: models.Registration,
     ) -> asyncio.Task[None]:
         """Starts to find out whether a request was lost with its server."""
-        task = self.loop.create_task(self._examine(request, plan, server))
+        examination = self._examine(request, fingerprint, plan, server)
+        task = self.loop.create_task(examination)
         self.examinations.add(task)
         task.add_done_callback(self.examinations.discard)
         return task
@@ -67,6 +161,7 @@
     async def _examine(
         self,
         request: messages.Request,
+        fingerprint: models.Fingerprint,
         plan: routing.Plan,
         server: models.Registration,
     ) -> None:
@@ -76,11 +171,17 @@
         logs.log_event(
             "request_lost",
             request_id=request_id.decode("latin-1"),
-            fingerprint=format_fingerprint(compute_fingerprint(request, plan)),
+            fingerprint=format_fingerprint(fingerprint),
             server=server.id,
             service=plan.service,
             finding=finding.value,
         )
+        if finding is not Finding.ENDED:
+            return
+        process = peer_messages.hash_process(server.id, server.started_ms)
+        now = self.loop.time()
+        self._apply(self.suspects.record_ending(fingerprint, process, now))
+        await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _check(self, server: models.Registration) -> Finding:
         """Connects to a server, once for requests lost at the same time."""
@@ -105,6 +206,30 @@
         self.connection_pools.release(server.id, connection)
         return Finding.RUNNING
 
+    def _apply(self, judgements: Iterable[suspects_lib.Judgement]) -> None:
+        for judgement in judgements:
+            self.counters.count_judgement(judgement.change.value)
+            logs.log_event(
+                "request_judged",
+                fingerprint=format_fingerprint(judgement.fingerprint),
+                change=judgement.change.value,
+                endings=judgement.endings,
+                refusals=judgement.refusals,
+            )
+            if judgement.change is suspects_lib.Change.REFUSED:
+                self._stop_copies(judgement.fingerprint)
+        self._tell_peers()
+
+    def _stop_copies(self, fingerprint: models.Fingerprint) -> None:
+        """Ends copies in flight; most servers then drop those in a queue."""
+        for connection in list(self.in_flight.get(fingerprint, ())):
+            connection.terminate(REFUSED)
+
+    def _tell_peers(self) -> None:
+        if self.suspects.has_news:
+            self.suspects.has_news = False
+            self.announce()
+
 
 def compute_fingerprint(
     request: messages.Request, plan: routing.Plan
--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -48,6 +48,9 @@
     FAILED = "failed"
 
 
+_ANSWERED = frozenset({Verdict.FINAL, Verdict.FAILED})
+
+
 class Ending(enum.Enum):
     """How a request ended, for logs and metrics.
 
@@ -93,6 +96,9 @@
             milliseconds, and the load and warmth of the chosen server.
         inputs: Values that a rejection was based on.
         skipped: Servers that were passed over because of their limit.
+        fingerprint: Hash of the request; 0 until it is planned.
+        is_trial: Whether it tries whether servers bear a refused request.
+        examination: Finds out whether the last attempt ended its server.
     """
 
     request: messages.Request
@@ -110,6 +116,9 @@
     )
     inputs: str = ""
     skipped: set[models.ServerId] = dataclasses.field(default_factory=set)
+    fingerprint: models.Fingerprint = models.Fingerprint(0)
+    is_trial: bool = False
+    examination: asyncio.Task[None] | None = None
 
 
 class Forwarder:
@@ -171,8 +180,16 @@
             self._record_end(progress, Ending.REJECTED, plan.status)
             return make_refusal(plan.status, plan.retry_after_s)
         progress.plan = plan
+        progress.fingerprint = crashes.compute_fingerprint(
+            progress.request, plan
+        )
+        if self.crashes.is_refused(progress.fingerprint):
+            progress.is_trial = await self.crashes.claim_trial(
+                progress.fingerprint
+            )
         self.retries.record_request(plan.service, self.loop.time())
         while True:
+            await self._wait_for_judgement(progress, plan)
             choice = self._next_server(progress, plan)
             if choice is None:
                 return self._respond_to_failure(progress, plan)
@@ -181,10 +198,33 @@
                 self._record_end(progress, Ending.ANSWERED, response.status)
                 return response
 
+    async def _wait_for_judgement(
+        self, progress: Progress, plan: routing.Plan
+    ) -> None:
+        """Waits while it is open whether the request crashes servers."""
+        if progress.examination is not None and plan.route.idempotent:
+            await asyncio.shield(progress.examination)
+        if self.crashes.suspects.is_suspected(progress.fingerprint):
+            await self.crashes.wait_for_judgement(progress.fingerprint)
+
+    def _is_stopped(self, progress: Progress) -> bool:
+        """Returns whether the request may not be sent as it crashes servers."""
+        if not self.crashes.is_refused(progress.fingerprint):
+            return False
+        if progress.is_trial and not progress.sent_count:
+            return False
+        progress.reason = crashes.REFUSED
+        progress.retry_after_s = self.crashes.retry_after_s(
+            progress.fingerprint
+        )
+        return True
+
     def _next_server(
         self, progress: Progress, plan: routing.Plan
     ) -> placement.Choice | None:
         now = self.loop.time()
+        if self._is_stopped(progress):
+            return None
         if plan.expires_at - now < MIN_ATTEMPT_S:
             progress.reason = "timeout"
             return None
@@ -261,6 +301,8 @@
                     entry, response.headers, self.loop.time()
                 )
             outcome = self._assess_response(progress, entry, verdict, response)
+            if verdict in _ANSWERED:
+                self.crashes.record_answer(progress.fingerprint)
             if verdict is Verdict.FINAL:
                 self._record_success(plan, choice, started_at)
                 return response_to_caller(response)
@@ -276,7 +318,12 @@
             outcome = health.Outcome.FAILURE
             progress.reason = str(error)
             if isinstance(error, clients.ConnectionLost):
-                self.crashes.examine(progress.request, plan, entry)
+                progress.examination = self.crashes.examine(
+                    progress.request, progress.fingerprint, plan, entry
+                )
+            elif self.crashes.is_refused(progress.fingerprint):
+                # This host stopped it, so that it tells nothing of the server.
+                outcome = health.Outcome.ABANDONED
         except TimeoutError:
             outcome = health.Outcome.TIMED_OUT
             progress.reason = "timeout"
@@ -305,6 +352,9 @@
         It may have left, or named a limit, while the connection was opened.
         """
         server = choice.server
+        if self._is_stopped(progress):
+            self.connection_pools.release(server.registration.id, connection)
+            return False
         if not self.placing.view.accepts_requests(server):
             connection.abort()
             progress.reason = "server_left"
@@ -337,8 +387,9 @@
         remaining_s = plan.expires_at - self.loop.time()
         request = request_to_server(progress.request, plan, server, remaining_s)
         expires_at = plan.expires_at + ANSWER_GRACE_S
-        async with asyncio.timeout_at(expires_at):
-            return await connection.send(request, header_names.REQUEST_ID)
+        with self.crashes.track(progress.fingerprint, connection):
+            async with asyncio.timeout_at(expires_at):
+                return await connection.send(request, header_names.REQUEST_ID)
 
     def _assess_response(
         self,
@@ -424,6 +475,11 @@
             fields["object"] = affinity_key(progress.request, plan.route)
             fields["attempts"] = progress.trace
             fields["config_version"] = plan.config_version
+        if self.crashes.suspects.is_suspected(progress.fingerprint):
+            fields["fingerprint"] = crashes.format_fingerprint(
+                progress.fingerprint
+            )
+            fields["is_trial"] = progress.is_trial
         if progress.skipped:
             fields["limited"] = sorted(progress.skipped)
         if progress.inputs:
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 import contextlib
 import random
 from typing import cast
@@ -15,6 +15,7 @@
 import msgspec
 
 from banyanshed.gateway import appliers
+from banyanshed.gateway import crashes
 from banyanshed.gateway import limits as limits_lib
 from banyanshed.gateway import logs
 from banyanshed.gateway import mirrors
@@ -26,6 +27,7 @@
 from banyanshed.steering import placement
 from banyanshed.steering import quotas as quotas_lib
 from banyanshed.steering import relays as relays_lib
+from banyanshed.steering import suspects as suspects_lib
 from banyanshed.steering import warmth
 
 # Interval of heartbeats to all hosts, and of those to hosts of the same region
@@ -52,6 +54,7 @@
         tables: dict[str, mirrors.Mirror],
         relays: relays_lib.Relays,
         limit_tracker: limits_lib.LimitTracker,
+        crash_detector: crashes.CrashDetector,
         port: int,
         seeds: tuple[str, ...],
     ):
@@ -65,6 +68,7 @@
             tables: Mirrors by table name.
             relays: The relays of large fleets.
             limit_tracker: Learns the limits that backend servers name.
+            crash_detector: Refuses requests that crash servers.
             port: Port of the traffic between hosts, the same on every host.
             seeds: Addresses of hosts that may know others.
         """
@@ -74,6 +78,8 @@
         self.outliers = placing.health.outliers
         self.limit_tracker = limit_tracker
         self.limits = limit_tracker.limits
+        self.crashes = crash_detector
+        self.suspects = crash_detector.suspects
         self.relays = relays
         self.applier = applier
         self.mirrors = tables
@@ -108,6 +114,8 @@
                 self._handle_digest(message, data, addr[0], now)
             case peer_messages.Heartbeat():
                 self._handle_heartbeat(message, now)
+            case peer_messages.Suspicions():
+                self._apply_suspects(message.suspects)
 
     def error_received(self, exc: Exception) -> None:
         """Ignores unreachable peers: missing heartbeats reveal them."""
@@ -134,7 +142,9 @@
         demand = peer_messages.encode_demand(
             self.placing.throttle.report_demand(now)
         )
-        heartbeat = self._make_heartbeat(usages, pairs, limits, demand)
+        heartbeat = self._make_heartbeat(
+            usages, pairs, limits, demand, self.suspects.report(now)
+        )
         receivers = self._receivers(self.fleet.contacts(now))
         silent = self.fleet.next_silent(now)
         if silent is not None:
@@ -147,6 +157,19 @@
             if ip != self.fleet.own.ip:
                 self._send(ip, datagram)
 
+    def send_suspects(self) -> None:
+        """Tells all peers at once what is new of suspected requests."""
+        now = self.loop.time()
+        reports = peer_messages.encode_suspects(self.suspects.report(now))
+        datagram = peer_messages.encode(peer_messages.Suspicions(reports))
+        self._send_to(self.fleet.contacts(now), datagram)
+
+    def _apply_suspects(
+        self, entries: list[peer_messages.EncodedSuspect]
+    ) -> None:
+        if entries:
+            self.crashes.apply_reports(peer_messages.decode_suspects(entries))
+
     def _send_due(self, now: float) -> None:
         contacts = self.fleet.contacts(now)
         receivers = self._receivers(contacts)
@@ -200,6 +223,7 @@
         summary = self.relays.summarize(
             self.mirrors[wire.OPERATOR_TABLE].report(),
             self.mirrors[wire.SERVER_TABLE].report(),
+            self.suspects.report(now),
             now,
         )
         datagram = peer_messages.encode_digest(
@@ -222,6 +246,7 @@
         warm: list[int],
         limits: Mapping[models.ServerId, server_limits.LimitReport],
         demand: list[peer_messages.EncodedDemand] | None = None,
+        suspects: Sequence[suspects_lib.SuspectReport] = (),
     ) -> peer_messages.Heartbeat:
         operators = self.mirrors[wire.OPERATOR_TABLE].report()
         servers = self.mirrors[wire.SERVER_TABLE].report()
@@ -241,6 +266,7 @@
             peer_messages.encode_limits(limits, self.applier.view.servers),
             demand,
             peer_messages.encode_eras(operators, servers),
+            peer_messages.encode_suspects(suspects),
         )
 
     def _handle_heartbeat(
@@ -266,6 +292,7 @@
         self.outliers.set_peer_report(host.id, evidence, now)
         limits = self.server_index.decode_limits(heartbeat.limits)
         self.limit_tracker.apply_reports(limits, host.id, now)
+        self._apply_suspects(heartbeat.suspects)
         if heartbeat.demand is not None:
             demand = self.server_index.decode_demand(heartbeat.demand)
             self.placing.throttle.set_peer_demand(host.id, demand, now)
@@ -283,6 +310,7 @@
         summary = self.server_index.decode_digest(digest)
         self.relays.apply_summary(summary, self.applier.view.configuration, now)
         self.limit_tracker.apply_reports(summary.limits, summary.relay.id, now)
+        self._apply_suspects(digest.suspects)
         if summary.relay.ip != sender:
             return
         # The digest came directly from the other region's relay, so this host
@@ -292,7 +320,9 @@
     def _reply_to_new_host(self, host: members.Host, now: float) -> None:
         """Sends a new host a heartbeat and, from a seed, the known hosts."""
         limits = self.limits.report_all(now)
-        heartbeat = self._make_heartbeat([], [], limits)
+        heartbeat = self._make_heartbeat(
+            [], [], limits, suspects=self.suspects.report_all(now)
+        )
         self._send(host.ip, peer_messages.encode(heartbeat))
         if not self._is_seed():
             return
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -47,6 +47,7 @@
 from banyanshed.steering import quotas
 from banyanshed.steering import relays
 from banyanshed.steering import routing
+from banyanshed.steering import suspects
 from banyanshed.steering import throttling
 from banyanshed.steering import views
 from banyanshed.steering import waits
@@ -111,6 +112,7 @@
         connection_pools: Connections to backend servers.
         retries: Budget of retries.
         limit_tracker: Learns the limits that backend servers name.
+        crash_detector: Refuses requests that crash backend servers.
         forwarder: Serves callers' requests.
         listener: State of the connections of callers.
         applier: Applies changes of the tables to the view.
@@ -175,6 +177,11 @@
         )
         self.connection_pools = pools.ConnectionPools(self.response_memory)
         self.retries = budgets.RetryBudget(settings.retries)
+        self.crash_detector = crashes.CrashDetector(
+            suspects.Suspects(settings.host),
+            self.connection_pools,
+            self.counters,
+        )
         self.forwarder = forwarding.Forwarder(
             self.router,
             self.placing,
@@ -182,7 +189,7 @@
             self.connection_pools,
             self.counters,
             self.limit_tracker,
-            crashes.CrashDetector(self.connection_pools, self.counters),
+            self.crash_detector,
         )
         self.listener = listeners.Listener(
             self.forwarder.serve,
@@ -216,9 +223,11 @@
             self.mirrors,
             self.relays,
             self.limit_tracker,
+            self.crash_detector,
             settings.peer_port,
             settings.seeds,
         )
+        self.crash_detector.announce = self.gossip.send_suspects
         self.table_sync = table_sync.TableSync(
             self.fleet,
             self.applier,
@@ -362,6 +371,8 @@
             self.connection_pools.close_expired(now)
             self.limit_tracker.drop_absent(now)
             self.placing.throttle.drop_expired(now)
+            self.crash_detector.judge()
+            self.crash_detector.suspects.drop_expired(now)
             self._update_state()
             # Contacts include hosts that recently fell silent and may go on
             # spending their share of the retry budget.
--- a/src/banyanshed/gateway/metrics.py
+++ b/src/banyanshed/gateway/metrics.py
@@ -65,6 +65,13 @@
             registry=self.registry,
         )
 
+        self.judgements = prometheus_client.Counter(
+            "banyanshed_request_judgements",
+            "Judgements of requests that may crash servers, by change.",
+            ("change",),
+            registry=self.registry,
+        )
+
     def count_request(
         self,
         service: models.ServiceName | str,
@@ -101,6 +108,10 @@
         """Counts a request that was lost with its connection."""
         self.server_endings.labels(service, result).inc()
 
+    def count_judgement(self, change: str) -> None:
+        """Counts a change of the judgement of a request."""
+        self.judgements.labels(change).inc()
+
     def count_server_limit(self, change: str) -> None:
         """Counts a response that changed a backend server's rate limit."""
         self.server_limits.labels(change).inc()
--- a/src/banyanshed/gateway/peer_messages.py
+++ b/src/banyanshed/gateway/peer_messages.py
@@ -20,6 +20,7 @@
 from banyanshed.steering import quotas
 from banyanshed.steering import relays
 from banyanshed.steering import restores
+from banyanshed.steering import suspects as suspects_lib
 from banyanshed.steering import views
 
 RATE_SCALE = 10.0
@@ -30,6 +31,7 @@
 MAX_LIMIT = 1e9
 NO_LIMIT = -1
 FOREVER = -1
+NEVER = -1
 
 
 class EncodedHost(msgspec.Struct, array_like=True, frozen=True):
@@ -91,6 +93,22 @@
     rate: int
 
 
+class EncodedSuspect(msgspec.Struct, array_like=True, frozen=True):
+    """What a host knows of a request that may crash servers.
+
+    Endings are pairs of the hash of a server's process and an age. Ages are in
+    milliseconds, NEVER if something did not happen.
+    """
+
+    fingerprint: int
+    endings: list[tuple[int, int]]
+    borne_age_ms: int
+    refusals: int
+    refused_age_ms: int
+    claimed_age_ms: int
+    claimed_by: str
+
+
 class EncodedEras(msgspec.Struct, array_like=True, frozen=True):
     """Eras of a host's tables, and what it keeps from before a restore.
 
@@ -121,6 +139,13 @@
     limits: list[EncodedLimit] = []
     demand: list[EncodedDemand] | None = None
     tables: EncodedEras = EncodedEras()
+    suspects: list[EncodedSuspect] = []
+
+
+class Suspicions(msgspec.Struct, array_like=True, tag="s", frozen=True):
+    """What is new of requests that may crash servers, sent at once to all."""
+
+    suspects: list[EncodedSuspect]
 
 
 class Contacts(msgspec.Struct, array_like=True, tag="c", frozen=True):
@@ -180,9 +205,10 @@
     limits: list[EncodedLimit] = []
     demand: list[EncodedDemand] = []
     tables: EncodedEras = EncodedEras()
+    suspects: list[EncodedSuspect] = []
 
 
-_MESSAGE = msgspec.msgpack.Decoder(Heartbeat | Contacts | Digest)
+_MESSAGE = msgspec.msgpack.Decoder(Heartbeat | Contacts | Digest | Suspicions)
 _TABLE = msgspec.msgpack.Decoder(EncodedTable)
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -281,15 +307,18 @@
             self.decode_evidence(digest.evidence),
             self.decode_limits(digest.limits),
             self.decode_demand(digest.demand),
+            decode_suspects(digest.suspects),
         )
 
 
-def encode(message: Heartbeat | Contacts | Digest | EncodedTable) -> bytes:
+def encode(
+    message: Heartbeat | Contacts | Digest | Suspicions | EncodedTable,
+) -> bytes:
     """Encodes a message."""
     return _ENCODER.encode(message)
 
 
-def decode(data: bytes) -> Heartbeat | Contacts | Digest:
+def decode(data: bytes) -> Heartbeat | Contacts | Digest | Suspicions:
     """Decodes a datagram.
 
     Raises:
@@ -423,6 +452,7 @@
             encode_limits(summary.limits, servers),
             encode_demand(summary.demand),
             encode_eras(summary.operators, summary.servers),
+            encode_suspects(summary.suspects),
         )
     )
 
@@ -483,6 +513,56 @@
     ]
 
 
+def encode_suspects(
+    reports: Sequence[suspects_lib.SuspectReport],
+) -> list[EncodedSuspect]:
+    """Encodes reports of requests that may crash servers."""
+    return [
+        EncodedSuspect(
+            report.fingerprint,
+            [
+                (process, round(age_s * 1000.0))
+                for process, age_s in report.endings
+            ],
+            _encode_age(report.borne_age_s),
+            report.refusals,
+            _encode_age(report.refused_age_s),
+            _encode_age(report.claimed_age_s),
+            report.claimed_by,
+        )
+        for report in reports
+    ]
+
+
+def decode_suspects(
+    entries: Sequence[EncodedSuspect],
+) -> list[suspects_lib.SuspectReport]:
+    """Decodes reports of requests that may crash servers."""
+    return [
+        suspects_lib.SuspectReport(
+            models.Fingerprint(entry.fingerprint),
+            tuple(
+                (process, max(0, age_ms) / 1000.0)
+                for process, age_ms in entry.endings
+            ),
+            _decode_age(entry.borne_age_ms),
+            entry.refusals,
+            _decode_age(entry.refused_age_ms),
+            _decode_age(entry.claimed_age_ms),
+            entry.claimed_by,
+        )
+        for entry in entries
+    ]
+
+
+def _encode_age(age_s: float | None) -> int:
+    return NEVER if age_s is None else round(age_s * 1000.0)
+
+
+def _decode_age(age_ms: int) -> float | None:
+    return None if age_ms < 0 else age_ms / 1000.0
+
+
 def encode_usages(usages: Sequence[quotas.Usage]) -> list[EncodedUsage]:
     """Encodes customers' counters."""
     return [
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -20,6 +20,7 @@
 from banyanshed.steering import placement
 from banyanshed.steering import quotas as quotas_lib
 from banyanshed.steering import rendezvous
+from banyanshed.steering import suspects as suspects_lib
 from banyanshed.steering import warmth
 
 # Hosts of fleets up to this size report to each other directly.
@@ -52,6 +53,7 @@
         evidence: Combined evidence on suspected servers.
         limits: Rate limits of servers known to the relay.
         demand: Requests per second of the region for servers with a limit.
+        suspects: Requests that may crash servers, as known to the relay.
     """
 
     relay: members.Host
@@ -65,6 +67,7 @@
     evidence: Mapping[models.ServerId, outliers.Evidence]
     limits: Mapping[models.ServerId, limits_lib.LimitReport]
     demand: Mapping[models.ServerId, float]
+    suspects: Sequence[suspects_lib.SuspectReport]
 
 
 class Relays:
@@ -142,6 +145,7 @@
         self,
         operators: members.TableReport,
         servers: members.TableReport,
+        suspects: Sequence[suspects_lib.SuspectReport],
         now: float,
     ) -> Summary:
         """Returns the summary that this host sends as a relay.
@@ -149,6 +153,7 @@
         Args:
             operators: This host's copy of the configuration table.
             servers: This host's copy of the server table.
+            suspects: Requests that may crash servers.
             now: Current time in seconds.
         """
         near = self.fleet.live_in_region(now)
@@ -173,6 +178,7 @@
             self.placing.health.outliers.aggregate_report(ids, now),
             self.placing.throttle.limits.report_all(now),
             self.placing.throttle.region_report(ids, now),
+            suspects,
         )
 
     def apply_summary(
