Log a configuration that is not taken, and mark what was copied from a peer

Cause: a row that the mirror keeps out never reached the applier, which logged unreadable configurations; and the fingerprint noted after a copy of kept rows was the one that the peer reported meanwhile. Change: row_kept is logged for changes as well, with the number of the row that is ignored; the fingerprint is the one that led to the copy.

--- a/src/banyanshed/gateway/appliers.py
+++ b/src/banyanshed/gateway/appliers.py
@@ -4,7 +4,7 @@
 keeps backend servers whose missing entries may be written again.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 import time
 
 from banyanshed.gateway import logs
@@ -85,19 +85,20 @@
             The changed rows, which have not been applied yet.
         """
         now = self.clock()
-        era = mirror.era
+        known = dict(mirror.overlay.rows)
         changed = mirror.replace(page, self._holds(mirror.table, now), now)
-        if era and mirror.era > era:
-            for key, entry in mirror.overlay.rows.items():
-                logs.log_event(
-                    "row_kept",
-                    table=mirror.table,
-                    key=key,
-                    is_removed=entry.is_removed,
-                    written_in_era=entry.written_at.era,
-                    row_version=entry.written_at.number,
-                    era=mirror.era,
-                )
+        _log_kept_rows(mirror, known)
+        return changed
+
+    def merge(self, mirror: mirrors.Mirror, page: wire.Page) -> list[wire.Row]:
+        """Merges changes into a mirror and logs rows that it does not take.
+
+        Returns:
+            The changed rows, which have not been applied yet.
+        """
+        known = dict(mirror.overlay.rows)
+        changed = mirror.merge(page)
+        _log_kept_rows(mirror, known)
         return changed
 
     def expire(self, mirror: mirrors.Mirror) -> None:
@@ -283,3 +284,23 @@
         self.forget_server(id_)
         self.counters.count_dropped_server(cause)
         logs.log_event("server_gone", server=id_, cause=cause, **fields)
+
+
+def _log_kept_rows(
+    mirror: mirrors.Mirror, known: Mapping[str, restores.Confirmed]
+) -> None:
+    """Logs rows that count from now on in place of the store's."""
+    for key, entry in mirror.overlay.rows.items():
+        if known.get(key) == entry:
+            continue
+        row = mirror.rows.get(key)
+        logs.log_event(
+            "row_kept",
+            table=mirror.table,
+            key=key,
+            is_removed=entry.is_removed,
+            written_in_era=entry.written_at.era,
+            row_version=entry.written_at.number,
+            era=mirror.era,
+            ignored_version=row.version if row is not None else None,
+        )
--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -129,7 +129,7 @@
             self._record_success("changes")
             self.retry_s = RETRY_MIN_S
             self.lost_again = False
-            changed = mirror.merge(page)
+            changed = self.applier.merge(mirror, page)
         self._record_era(page.era)
         if changed or not self.applier.view.servers_known:
             max_age_s = self._waits().batch_delay_s
--- a/src/banyanshed/gateway/table_sync.py
+++ b/src/banyanshed/gateway/table_sync.py
@@ -165,6 +165,7 @@
         member = self._peer_with_unknown_rows(mirror, now)
         if member is None:
             return
+        fingerprint = _report(member, mirror).confirmed
         tables = sources.PeerTables((member.host.ip, self.port))
         try:
             async with asyncio.timeout(self._waits(mirror).copy_timeout_s):
@@ -178,7 +179,7 @@
             return
         finally:
             tables.close()
-        mirror.overlay.merged.add(_report(member, mirror).confirmed)
+        mirror.overlay.merged.add(fingerprint)
         changed = mirror.adopt(page, self.loop.time())
         logs.log_event(
             "confirmed_rows_adopted",
