Restore the store from older copies in the soak

Change: up to two restores a run, each from a copy up to four seconds old, after which operators and servers write theirs again; servers number what they say. A host that refused a key may not accept it again without a restart, whatever happens to the store.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -43,6 +43,8 @@
         self.slow_factor = 1.0
         self.failing_share = 0.0
         self.limit = None
+        self.state = "ready"
+        self.sequence = 0
         self.backend = servers_lib.BackendServer(id_, self._answer)
         self.proxy = None
 
@@ -53,6 +55,8 @@
         await self.register("ready")
 
     async def register(self, state):
+        self.state = state
+        self.sequence += 1
         ip, port = self.proxy.address
         zones = list(ZONES)
         number = int(self.id.removeprefix("i"))
@@ -63,7 +67,11 @@
                 "zone": zones[number % len(zones)],
                 "slots": SLOTS,
             },
-            "status": {"state": state, "coldLeft": "0ms"},
+            "status": {
+                "state": state,
+                "seq": self.sequence,
+                "coldLeft": "0ms",
+            },
             "born": 1000,
         }
         await self.cluster.store.put("servers", self.id, entry)
@@ -186,6 +194,7 @@
         self.store = store_lib.Store()
         self.store_address = ("", 0)
         self.servers = {}
+        self.leaving = {}
         self.hosts = {}
         self.version = 1
         self.keys = list(KEYS)
@@ -239,6 +248,16 @@
         tree = gateway_fleet.configuration(self.version, routes, customers)
         await self.store.put("op", "config", tree)
 
+    async def write_again(self):
+        """Writes what operators and servers wrote, as after a restore."""
+        await self.put_configuration()
+        registered = self.servers | self.leaving
+        for server in list(registered.values()):
+            await server.register(server.state)
+        for table, key in list(self.store.rows):
+            if table == "servers" and key not in registered:
+                await self.store.remove(table, key)
+
     async def _record_stalls(self):
         """Records stalls of this process, which distort recorded times."""
         while True:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -54,6 +54,15 @@
     return limits
 
 
+def draw_restores(rng, length_s):
+    """Returns the moments of the copies from which the store is restored."""
+    restores = []
+    for _ in range(rng.randint(0, 2)):
+        at = rng.uniform(0.5, length_s)
+        restores.append(Fault(at, "restore_store", rng.uniform(0.5, 4.0)))
+    return restores
+
+
 class FaultInjector:
     """Applies scheduled faults to a cluster."""
 
@@ -170,6 +179,20 @@
         self.cluster.store.forget_history()
         self._record_interval("harm", "store", start)
 
+    async def restore_store(self, for_s):
+        """Restores the store from a copy that is `for_s` seconds old."""
+        store = self.cluster.store
+        copy = store.copy()
+        await asyncio.sleep(for_s)
+        start = self.cluster.now()
+        store.fault = store_lib.Fault.BUSY
+        await store.restore(copy)
+        await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+        store.fault = store_lib.Fault.NONE
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        await self.cluster.write_again()
+        self._record_interval("harm", "store", start)
+
     async def slow_server(self, for_s):
         server = self.rng.choice(list(self.cluster.servers.values()))
         start = self.cluster.now()
@@ -205,9 +228,11 @@
         if len(cluster.servers) <= MIN_SERVERS:
             return
         server = cluster.servers.pop(self.rng.choice(sorted(cluster.servers)))
+        cluster.leaving[server.id] = server
         await server.register("draining")
         self._record_change("draining", server.id)
         await asyncio.sleep(for_s)
+        del cluster.leaving[server.id]
         await cluster.store.remove("servers", server.id)
         self._record_change("gone", server.id)
 
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -39,6 +39,11 @@
     executions_by_id = collections.defaultdict(list)
     for execution in records.executions:
         executions_by_id[execution.id].append(execution)
+    for request in records.requests:
+        if request.status == 401:
+            place = (request.host, request.key)
+            refused = records.refused_keys.setdefault(place, [])
+            refused.append(request.ended_at)
     for request in records.requests:
         executions = executions_by_id.get(request.id, [])
         for check_request in REQUEST_CHECKS:
@@ -170,6 +175,23 @@
     return None
 
 
+def refused_key_is_never_accepted_again(records, request, execution):
+    if request is None:
+        return None
+    restarts = [
+        interval.end
+        for interval in records.fault_intervals
+        if interval.kind in ("kill", "stop", "overdue")
+        and interval.target == request.host
+    ]
+    for other in records.refused_keys.get((request.host, request.key), ()):
+        if request.sent_at <= other + TOLERANCE_S:
+            continue
+        if not any(other <= end <= request.sent_at for end in restarts):
+            return f"refused {request.sent_at - other:.2f} s before"
+    return None
+
+
 def execution_matches_a_request(records, request, execution):
     if request is None:
         return "no caller sent this request"
@@ -263,6 +285,7 @@
     withdrawn_key_stops_working,
 )
 EXECUTION_CHECKS = (
+    refused_key_is_never_accepted_again,
     execution_matches_a_request,
     leaving_server_gets_no_requests,
     work_is_cancelled_when_caller_disconnects,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -142,6 +142,7 @@
         limits: Intervals in which servers named rate limits.
         stall_ends: Ends of stalls of the test process, whose recorded times
             are unreliable.
+        refused_keys: When a host answered 401, by host and key.
         recovery_s: Seconds from the last fault until callers were served;
             None if they were not.
     """
@@ -156,6 +157,9 @@
     )
     limits: list[LimitInterval] = dataclasses.field(default_factory=list)
     stall_ends: list[float] = dataclasses.field(default_factory=list)
+    refused_keys: dict[tuple[str, str], list[float]] = dataclasses.field(
+        default_factory=dict
+    )
     recovery_s: float | None = None
 
     def is_fault_free(self, targets, start, end):
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -15,6 +15,7 @@
 LARGE = (15, 12)
 CALLERS_PER_HOST = 4
 CONSECUTIVE_SERVED = 20
+RESTORES_SEED = 1 << 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,7 +57,10 @@
         drawn = faults_lib.draw_faults(rng, length_s)
         # A generator of its own, so that the faults of a seed stay the same.
         limits = faults_lib.draw_limits(random.Random(-seed), length_s)
-        drawn = sorted(drawn + limits, key=lambda fault: fault.at)
+        restores = faults_lib.draw_restores(
+            random.Random(seed + RESTORES_SEED), length_s
+        )
+        drawn = sorted(drawn + limits + restores, key=lambda fault: fault.at)
         callers = [
             cluster_lib.Caller(cluster, n)
             for n in range(hosts * CALLERS_PER_HOST)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -128,6 +128,16 @@
     assert violations == ["withdrawn_key_stops_working"]
 
 
+def test_a_key_that_a_host_refused_may_not_be_accepted_again():
+    refused = request(id="b", status=401, sent_at=5.0, ended_at=5.1)
+    withdrawn = records_lib.AcknowledgedChange("withdrawn", "key-1", 4.0)
+    restored = records_lib.FaultInterval("harm", "store", 3.0, 10.0)
+    violations = violated_invariants(
+        [request(), refused], [execution()], [restored], [withdrawn]
+    )
+    assert violations == ["refused_key_is_never_accepted_again"]
+
+
 def test_faults_excuse_only_the_invariants_they_affect():
     interval = records_lib.FaultInterval("harm", "store", 5.0, 9.0)
     draining = records_lib.AcknowledgedChange("draining", "i1", 7.0)
