Send a deadly request in the soak, and restart hosts that a reload ended

Change: in half of the runs callers send one request that ends each server which runs it, for up to ten seconds; an invariant counts what reaches servers later than 3 s after the third crash, from hosts without faults (three allowed).

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -87,6 +87,11 @@
             "x-api-key" in headers,
         )
         cluster.records.executions.append(execution)
+        if cluster.deadly_until > cluster.now() and (
+            exchange.target == records_lib.DEADLY_PATH
+        ):
+            await self._crash()
+            return
         try:
             work_s = WORK_S * cluster.rng.uniform(0.5, 1.5) * self.slow_factor
             await asyncio.sleep(work_s)
@@ -104,6 +109,17 @@
             extra["Server-Limit"] = f"{self.limit:g}"
         exchange.respond(200, execution.body, **extra)
 
+    async def _crash(self):
+        """Ends the server's process, which is back some time later."""
+        start = self.cluster.now()
+        self.proxy.stop()
+        await asyncio.sleep(self.cluster.rng.uniform(1.0, 3.0))
+        await self.proxy.restart()
+        interval = records_lib.FaultInterval(
+            "crash", self.id, start, self.cluster.now()
+        )
+        self.cluster.records.fault_intervals.append(interval)
+
 
 class Host:
     """The process of an entry host."""
@@ -149,6 +165,7 @@
             await asyncio.sleep(0.02)
 
     async def is_ready(self):
+        self.process.poll()
         try:
             status = await request_status(self.ip, self.cluster.ports[1], "/")
         except (OSError, TimeoutError, h11.RemoteProtocolError):
@@ -195,6 +212,7 @@
         self.store_address = ("", 0)
         self.servers = {}
         self.leaving = {}
+        self.deadly_until = 0.0
         self.hosts = {}
         self.version = 1
         self.keys = list(KEYS)
@@ -228,6 +246,10 @@
         end = self.now() + READY_S
         while not await host.is_ready():
             assert self.now() < end, f"{host.name} did not become ready"
+            if host.process.returncode == -signal.SIGHUP:
+                # A reload came before the program could handle the signal; the
+                # platform starts a process again that ended.
+                host.start()
             await asyncio.sleep(0.05)
 
     async def put_configuration(self):
@@ -278,6 +300,9 @@
         self.reader = None
         self.writer = None
         self.may_disconnect = True
+        # A generator of its own, so that deadly requests leave the others'
+        # draws as they are.
+        self.rng = random.Random(number)
 
     async def run(self):
         while True:
@@ -295,13 +320,19 @@
             self.host = cluster.rng.choice(list(cluster.hosts.values()))
         safe = cluster.rng.random() < 0.7
         number = cluster.rng.randrange(OBJECTS)
+        if cluster.deadly_until > cluster.now() and self.rng.random() < 0.05:
+            return self._make_request(records_lib.DEADLY_PATH, True, KEYS[0])
+        path = f"/{'r' if safe else 'u'}/{number}"
+        return self._make_request(path, safe, cluster.rng.choice(KEYS))
+
+    def _make_request(self, path, safe, key):
         return records_lib.Request(
             f"c{self.number}-{self.count}",
             self.host.name,
-            f"/{'r' if safe else 'u'}/{number}",
+            path,
             safe,
-            cluster.rng.choice(KEYS),
-            cluster.now(),
+            key,
+            self.cluster.now(),
         )
 
     async def _send(self, request):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -63,6 +63,14 @@
     return restores
 
 
+def draw_deadly_requests(rng, length_s):
+    """Returns when a request begins to crash the servers that run it."""
+    if rng.random() < 0.5:
+        return []
+    at = rng.uniform(0.5, length_s)
+    return [Fault(at, "send_deadly_requests", rng.uniform(4.0, 10.0))]
+
+
 class FaultInjector:
     """Applies scheduled faults to a cluster."""
 
@@ -193,6 +201,12 @@
         await self.cluster.write_again()
         self._record_interval("harm", "store", start)
 
+    async def send_deadly_requests(self, for_s):
+        until = self.cluster.now() + for_s
+        self.cluster.deadly_until = until
+        self.cluster.records.deadly_until = until
+        await asyncio.sleep(for_s)
+
     async def slow_server(self, for_s):
         server = self.rng.choice(list(self.cluster.servers.values()))
         start = self.cluster.now()
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -21,6 +21,9 @@
 LIMIT_EXTRA = 5
 LIMIT_WINDOW_S = 4.0
 LIMIT_NOTICE_S = 0.5
+# Crashes by one request after which it is refused, and retries that may follow.
+CRASHES_TO_REFUSE = 3
+DEADLY_RETRIES = 3
 # Endings that the host did not cause.
 UNCHECKED_ENDINGS = frozenset(
     {
@@ -70,6 +73,9 @@
             violations.append(
                 f"limited_server_is_not_flooded: {violation}: {limit}"
             )
+    violation = deadly_request_stops(records, requests_by_id)
+    if violation:
+        violations.append(f"deadly_request_stops: {violation}")
     if records.recovery_s is None:
         violations.append(
             f"recovers: not served {RECOVERY_BOUND_S} s after the last fault"
@@ -262,6 +268,30 @@
     return None
 
 
+def deadly_request_stops(records, requests_by_id):
+    crashed_at = sorted(
+        interval.start
+        for interval in records.fault_intervals
+        if interval.kind == "crash"
+    )
+    if len(crashed_at) < CRASHES_TO_REFUSE:
+        return None
+    bound = crashed_at[CRASHES_TO_REFUSE - 1] + SETTLE_TIME_S
+    late = []
+    for execution in records.executions:
+        request = requests_by_id.get(execution.id)
+        if request is None or request.path != records_lib.DEADLY_PATH:
+            continue
+        if request.sent_at <= bound or execution.at > records.deadly_until:
+            continue
+        start = execution.at - SETTLE_TIME_S
+        if records.is_fault_free({request.host}, start, execution.at):
+            late.append(execution.at)
+    if len(late) <= DEADLY_RETRIES:
+        return None
+    return f"{len(late)} executions from {late[0]:.2f} s on"
+
+
 def _hosts_told(records, limit):
     """Returns when each host first passed on an answer with the limit."""
     told_at = {}
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -42,13 +42,24 @@
         self.changed = asyncio.Event()
         self.writers = set()
         self.tasks = set()
+        self.server = None
 
     async def start(self, stack, ip, port=0):
-        server = await asyncio.start_server(self._accept, ip, port)
-        self.address = server.sockets[0].getsockname()[:2]
-        stack.callback(server.close)
+        await self._listen(ip, port)
         stack.callback(self._close)
 
+    def stop(self):
+        """Ends all connections and listens no more, as if the target ended."""
+        self.server.close()
+        self._reset_all()
+
+    async def restart(self):
+        await self._listen(*self.address)
+
+    async def _listen(self, ip, port):
+        self.server = await asyncio.start_server(self._accept, ip, port)
+        self.address = self.server.sockets[0].getsockname()[:2]
+
     def set_fault(self, fault):
         self.fault = fault
         self.changed.set()
@@ -112,6 +123,7 @@
             _reset(writer)
 
     def _close(self):
+        self.server.close()
         for task in self.tasks:
             task.cancel()
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -6,6 +6,9 @@
 import dataclasses
 import enum
 
+# A request that crashes each server that runs it, while the run says so.
+DEADLY_PATH = "/r/deadly"
+
 
 class Ending(enum.Enum):
     """How a caller's request ended.
@@ -143,6 +146,7 @@
         stall_ends: Ends of stalls of the test process, whose recorded times
             are unreliable.
         refused_keys: When a host answered 401, by host and key.
+        deadly_until: Until when the deadly request crashed servers.
         recovery_s: Seconds from the last fault until callers were served;
             None if they were not.
     """
@@ -160,6 +164,7 @@
     refused_keys: dict[tuple[str, str], list[float]] = dataclasses.field(
         default_factory=dict
     )
+    deadly_until: float = 0.0
     recovery_s: float | None = None
 
     def is_fault_free(self, targets, start, end):
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -16,6 +16,7 @@
 CALLERS_PER_HOST = 4
 CONSECUTIVE_SERVED = 20
 RESTORES_SEED = 1 << 32
+DEADLY_SEED = 1 << 33
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +61,12 @@
         restores = faults_lib.draw_restores(
             random.Random(seed + RESTORES_SEED), length_s
         )
-        drawn = sorted(drawn + limits + restores, key=lambda fault: fault.at)
+        deadly = faults_lib.draw_deadly_requests(
+            random.Random(seed + DEADLY_SEED), length_s
+        )
+        drawn = sorted(
+            drawn + limits + restores + deadly, key=lambda fault: fault.at
+        )
         callers = [
             cluster_lib.Caller(cluster, n)
             for n in range(hosts * CALLERS_PER_HOST)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -204,3 +204,31 @@
     records.limits.append(records_lib.LimitInterval("i1", rate, 11.0, 19.0))
     found = [line.split(":")[0] for line in invariants.check(records)]
     assert found == ["limited_server_is_not_flooded"] * violated
+
+
+@pytest.mark.parametrize(("count", "violated"), [(6, False), (12, True)])
+def test_a_request_that_goes_on_crashing_servers_is_a_violation(
+    count, violated
+):
+    requests, executions, crashes = [], [], []
+    for number in range(count):
+        at = 10.0 + 2.0 * number
+        id_ = f"r{number}"
+        path = records_lib.DEADLY_PATH
+        requests.append(
+            request(
+                id=id_,
+                path=path,
+                safe=True,
+                sent_at=at,
+                ended_at=at,
+                status=502,
+            )
+        )
+        executions.append(execution(id=id_, at=at, body=b""))
+        crashes.append(records_lib.FaultInterval("crash", "i1", at, at + 1.0))
+    records = records_lib.Records(requests, executions, crashes)
+    records.deadly_until = 99.0
+    records.recovery_s = 0.1
+    found = [line.split(":")[0] for line in invariants.check(records)]
+    assert found == ["deadly_request_stops"] * violated
