Bear a report of countless refusals

Cause: the wait for a trial grows by a power of the number of refusals, which a peer's report may name at will: 3.0 to the power of 2^62 raises OverflowError in the path of the request. Change: at most ten growths; the wait had a limit of 900 s before, too. Evidence: test_a_report_of_countless_refusals_does_no_harm failed with OverflowError.

--- a/src/banyanshed/steering/suspects.py
+++ b/src/banyanshed/steering/suspects.py
@@ -42,6 +42,7 @@
 FIRST_TRIAL_S = 15.0
 TRIAL_GROWTH = 3.0
 MAX_TRIAL_S = 900.0
+MAX_GROWTHS = 10
 # Time after which a host that claimed a trial without a result gives way.
 CLAIM_S = 10.0
 # Limits of what is kept and of what a report names.
@@ -97,9 +98,11 @@
 
     def trial_at(self) -> float:
         """Returns when it may be tried next."""
-        wait_s = FIRST_TRIAL_S * TRIAL_GROWTH ** (self.refusals - 1)
+        # A report may name any number.
+        growths = min(self.refusals - 1, MAX_GROWTHS)
+        wait_s = min(MAX_TRIAL_S, FIRST_TRIAL_S * TRIAL_GROWTH**growths)
         return max(
-            self.refused_at + min(MAX_TRIAL_S, wait_s),
+            self.refused_at + wait_s,
             self.claimed_at + CLAIM_S,
         )
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -1,5 +1,7 @@
 """Judgement of requests that were in flight when servers ended."""
 
+import dataclasses
+
 import msgspec
 import pytest
 
@@ -293,3 +295,12 @@
         hosts.end_server(process, *lost)
     # 500 lost requests, each told once by its host.
     assert hosts.bytes < 500 * 64
+
+
+def test_a_report_of_countless_refusals_does_no_harm():
+    hosts = make_refused(2)
+    (report,) = hosts.hosts[0].report(hosts.now)
+    absurd = dataclasses.replace(report, refusals=1 << 62, borne_age_s=None)
+    hosts.hosts[1].apply_reports([absurd], hosts.now)
+    waited_s = hosts.hosts[1].wait_s(DEADLY, hosts.now)
+    assert 0.0 < waited_s <= suspects.MAX_TRIAL_S
