Judge suspects by an index of endings, and only those with news

Cause: each report and each lost request judged all suspects against each other, 256 suspects with 32 endings each: a test with as many took over 100 s. Change: endings are indexed by process once a judgement; suspects are judged for 2 s after their last change; a report alone decides only on trials. Evidence: test_memory_and_reports_are_bounded takes 2.5 s; test_suspects, test_deadly_requests pass.

--- a/src/banyanshed/steering/suspects.py
+++ b/src/banyanshed/steering/suspects.py
@@ -19,7 +19,7 @@
 callers pass as `now`.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 import dataclasses
 import enum
 import math
@@ -35,6 +35,8 @@
 # Time in which peers report what else was in flight at an ending, in seconds.
 # Until then, the requests that may be refused are held back.
 SETTLE_S = 0.3
+# How long after a change a suspect is judged again, in seconds.
+JUDGED_S = 2.0
 # How long an ending is remembered, in seconds.
 EVIDENCE_S = 300.0
 # Time until a refused request is tried for the first time, and the factor by
@@ -234,7 +236,7 @@
         self._touch(fingerprint, suspect, now)
         return [
             self._describe(fingerprint, Change.SUSPECTED),
-            *self.judge(now),
+            *self._judge_trial(fingerprint, now),
         ]
 
     def record_answer(
@@ -309,27 +311,26 @@
                 judgements.append(
                     self._describe(report.fingerprint, Change.REFUSED)
                 )
-        judgements.extend(self.judge(now))
+            judgements.extend(self._judge_trial(report.fingerprint, now))
         return judgements
 
     def judge(self, now: float) -> list[Judgement]:
         """Refuses the requests that the evidence of all hosts is against."""
-        judgements = []
-        if not any(map(_may_be_guilty, self.suspects.values())):
-            return []
-        totals = {
-            fingerprint: len(_since_borne(suspect))
+        candidates = [
+            fingerprint
             for fingerprint, suspect in self.suspects.items()
-        }
-        for fingerprint, suspect in self.suspects.items():
-            if not self._is_guilty(fingerprint, totals, now):
-                continue
-            suspect.refusals += 1
-            suspect.refused_at = now
-            suspect.changed_at = now
-            self.news[fingerprint] = None
-            judgements.append(self._describe(fingerprint, Change.REFUSED))
-        return judgements
+            if len(suspect.endings) >= ENDINGS_TO_REFUSE
+            and not suspect.is_refused
+            and now - suspect.changed_at < JUDGED_S
+        ]
+        if not candidates:
+            return []
+        evidence = _Evidence(self.suspects)
+        return [
+            self._refuse(fingerprint, now)
+            for fingerprint in candidates
+            if evidence.count(fingerprint, now) >= ENDINGS_TO_REFUSE
+        ]
 
     def drop_expired(self, now: float) -> None:
         """Forgets suspects without recent endings that are not refused."""
@@ -402,26 +403,53 @@
             )
         return changed
 
-    def _is_guilty(
-        self,
-        fingerprint: models.Fingerprint,
-        totals: dict[models.Fingerprint, int],
-        now: float,
-    ) -> bool:
-        """Returns whether to refuse a request, or to refuse it for longer."""
+    def _judge_trial(
+        self, fingerprint: models.Fingerprint, now: float
+    ) -> list[Judgement]:
+        """Refuses a request for longer if a server ended in its trial."""
         suspect = self.suspects[fingerprint]
-        if suspect.is_refused:
-            return _ended_in_trial(suspect)
-        if totals[fingerprint] < ENDINGS_TO_REFUSE:
-            return False
-        return self._count(fingerprint, totals, now) >= ENDINGS_TO_REFUSE
+        if not suspect.is_refused or not _ended_in_trial(suspect):
+            return []
+        return [self._refuse(fingerprint, now)]
 
-    def _count(
-        self,
-        fingerprint: models.Fingerprint,
-        totals: dict[models.Fingerprint, int],
-        now: float,
-    ) -> int:
+    def _refuse(self, fingerprint: models.Fingerprint, now: float) -> Judgement:
+        suspect = self.suspects[fingerprint]
+        suspect.refusals += 1
+        suspect.refused_at = now
+        suspect.changed_at = now
+        self.news[fingerprint] = None
+        return self._describe(fingerprint, Change.REFUSED)
+
+    def _describe(
+        self, fingerprint: models.Fingerprint, change: Change
+    ) -> Judgement:
+        suspect = self.suspects[fingerprint]
+        count = len(_since_borne(suspect))
+        return Judgement(fingerprint, change, count, suspect.refusals)
+
+
+def _ended_in_trial(suspect: Suspect) -> bool:
+    """Returns whether a server ended in a trial since the last refusal."""
+    started_at = suspect.claimed_at
+    if started_at < suspect.refused_at:
+        return False
+    return any(ending.at > started_at for ending in suspect.endings)
+
+
+class _Evidence:
+    """The endings of all suspects at one moment."""
+
+    def __init__(self, suspects: Mapping[models.Fingerprint, Suspect]):
+        self.suspects = suspects
+        self.totals: dict[models.Fingerprint, int] = {}
+        self.by_process: dict[int, list[tuple[models.Fingerprint, Ending]]] = {}
+        for fingerprint, suspect in suspects.items():
+            self.totals[fingerprint] = len(_since_borne(suspect))
+            for ending in suspect.endings:
+                lost = self.by_process.setdefault(ending.process, [])
+                lost.append((fingerprint, ending))
+
+    def count(self, fingerprint: models.Fingerprint, now: float) -> int:
         """Returns the endings that count against a request.
 
         An ending counts against the request that was in flight at most
@@ -435,7 +463,7 @@
         for ending in _since_borne(suspect):
             if now - ending.at < SETTLE_S:
                 continue
-            if self._has_likelier_cause(fingerprint, ending, totals):
+            if self._has_likelier_cause(fingerprint, ending):
                 continue
             if is_borne and ending.at - last_at < SAME_MOMENT_S:
                 continue
@@ -444,40 +472,15 @@
         return count
 
     def _has_likelier_cause(
-        self,
-        fingerprint: models.Fingerprint,
-        ending: Ending,
-        totals: dict[models.Fingerprint, int],
+        self, fingerprint: models.Fingerprint, ending: Ending
     ) -> bool:
-        for other, suspect in self.suspects.items():
-            if other == fingerprint or totals[other] < totals[fingerprint]:
+        for other, known in self.by_process[ending.process]:
+            if other == fingerprint or not _is_same(known, ending):
                 continue
-            if any(_is_same(known, ending) for known in suspect.endings):
+            if self.totals[other] >= self.totals[fingerprint]:
                 return True
         return False
 
-    def _describe(
-        self, fingerprint: models.Fingerprint, change: Change
-    ) -> Judgement:
-        suspect = self.suspects[fingerprint]
-        count = len(_since_borne(suspect))
-        return Judgement(fingerprint, change, count, suspect.refusals)
-
-
-def _may_be_guilty(suspect: Suspect) -> bool:
-    """Returns whether a request has to be judged with the others' evidence."""
-    if suspect.is_refused:
-        return _ended_in_trial(suspect)
-    return len(suspect.endings) >= ENDINGS_TO_REFUSE
-
-
-def _ended_in_trial(suspect: Suspect) -> bool:
-    """Returns whether a server ended in a trial since the last refusal."""
-    started_at = suspect.claimed_at
-    if started_at < suspect.refused_at:
-        return False
-    return any(ending.at > started_at for ending in suspect.endings)
-
 
 def _since_borne(suspect: Suspect) -> list[Ending]:
     """Returns the endings since a server last bore the request."""
