--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,15 +14,16 @@
 from tests.soak import records as records_lib
 from tests.soak import runner
 
-LENGTH_S = 6.0
-# Besides the default seed, seeds that failed are added with their cause.
-SEEDS = (1,)
+# Seeds and lengths in seconds. Besides the default seed, seeds that failed are
+# added with their cause. 4807: once, a host that stopped cut a request that had
+# been in flight for longer than its timeout; the cause is not known.
+RUNS = ((1, 6.0), (4807, 12.0))
 
 
 @pytest.mark.processes
-@pytest.mark.parametrize("seed", SEEDS)
-def test_short_soak_violates_no_invariant(seed, tmp_path):
-    result = asyncio.run(runner.run_seed(seed, LENGTH_S, tmp_path))
+@pytest.mark.parametrize(("seed", "length_s"), RUNS)
+def test_short_soak_violates_no_invariant(seed, length_s, tmp_path):
+    result = asyncio.run(runner.run_seed(seed, length_s, tmp_path))
     assert result.violations == []
     assert result.served > 0.5 * result.requests
 
