Answer a request at once whose lost server is still being checked

Cause: an idempotent request that was lost waited for the check of its server, up to 0.36 s, past its timeout, and also where it could not be sent again. Change: only a request that may be sent again waits, until its timeout at most. Evidence: test_no_request_waits_for_an_examination_past_its_time failed before in both cases: no answer in 5 s with a check that hangs.

--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards callers' requests to backend servers, with retries."""
 
 import asyncio
+import contextlib
 import dataclasses
 import enum
 from typing import Any
@@ -201,11 +202,22 @@
     async def _wait_for_judgement(
         self, progress: Progress, plan: routing.Plan
     ) -> None:
-        """Waits while it is open whether the request crashes servers."""
-        if progress.examination is not None and plan.route.idempotent:
-            await asyncio.shield(progress.examination)
-        if self.crashes.suspects.is_suspected(progress.fingerprint):
-            await self.crashes.wait_for_judgement(progress.fingerprint)
+        """Waits while it is open whether the request crashes servers.
+
+        A request that won't be sent again does not wait.
+        """
+        is_suspected = self.crashes.suspects.is_suspected(progress.fingerprint)
+        if progress.examination is None and not is_suspected:
+            return
+        if progress.may_have_run and not plan.route.idempotent:
+            return
+        if progress.sent_count >= plan.route.attempts:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(plan.expires_at):
+                if progress.examination is not None:
+                    await asyncio.shield(progress.examination)
+                await self.crashes.wait_for_judgement(progress.fingerprint)
 
     def _is_stopped(self, progress: Progress) -> bool:
         """Returns whether the request may not be sent as it crashes servers."""
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -294,3 +294,35 @@
     text = str(found)
     assert gateway_fleet.API_KEY not in text
     assert "deadly" not in text
+
+
+async def hang(*_):
+    await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize("attempts", [1, 2])
+def test_no_request_waits_for_an_examination_past_its_time(
+    monkeypatch, attempts
+):
+    """The check of the server hangs, and the request can't be sent again."""
+
+    async def scenario(fleet):
+        host = fleet.hosts["h1"]
+        monkeypatch.setattr(host.crash_detector, "_check", hang)
+
+        async def crash_late(exchange):
+            await asyncio.sleep(0.4 if attempts == 2 else 0.0)
+            exchange.reset()
+
+        for server in fleet.servers.values():
+            server.action = crash_late
+        answered = asyncio.ensure_future(fleet.call("/r/x"))
+        # The route's timeout is 0.5 s, the hanging check has none.
+        done, _ = await asyncio.wait({answered}, timeout=5.0)
+        assert done
+        assert answered.result().status in (502, 504)
+
+    config = gateway_fleet.configuration(
+        routes=[gateway_fleet.route(timeout="500ms", attempts=attempts)]
+    )
+    gateway_fleet.run_scenario(scenario, servers=SERVERS, config=config)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,8 +16,9 @@
 
 # Seeds and lengths in seconds. Besides the default seed, seeds that failed are
 # added with their cause. 4807: once, a host that stopped cut a request that had
-# been in flight for longer than its timeout; the cause is not known.
-RUNS = ((1, 6.0), (4807, 12.0))
+# been in flight for longer than its timeout; the cause is not known. 4815:
+# requests waited for the check of a lost server past their timeout.
+RUNS = ((1, 6.0), (4807, 12.0), (4815, 12.0))
 
 
 @pytest.mark.processes
