--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -342,3 +342,31 @@
         assert len(fleet.store.calls) <= len(fleet.hosts) * (2 * 4 + 1)
 
     gateway_fleet.run_scenario(scenario, hosts=5)
+
+
+def test_25_hosts_keep_what_was_confirmed_with_few_calls_of_the_store():
+    def is_right(host):
+        return (
+            knows(host, 3)
+            and "i1" not in host.view.servers
+            and host.view.evacuated_zones == {"b1"}
+        )
+
+    async def scenario(fleet):
+        copy = fleet.store.copy()
+        await put_config(fleet, 3)
+        await fleet.store.put("op", "evacuate/b1", {})
+        await fleet.store.remove("servers", "i1")
+        await wait_for_all(fleet, is_right)
+        fleet.store.calls.clear()
+        await fleet.store.restore(copy)
+        await wait_for_era(fleet)
+        await hold(fleet, 1.0, is_right)
+        await put_config(fleet, 4)
+        await wait_for_config(fleet, 4)
+        # As many for each host as with few hosts, though most are followers.
+        assert len(fleet.store.calls) <= len(fleet.hosts) * (2 * 4 + 1)
+
+    gateway_fleet.run_scenario(
+        scenario, hosts=25, servers=("i1", "i2", "i3", "i4")
+    )
