Call a peer for a table and for the rows it keeps in one place

Found on reading the change again: the call of a peer, its timeout, its log line and the closing of its connections stood twice in table_sync.py, in the copy of a table and in the adoption of kept rows. Evidence: formatter, linter, mypy; test_restored_store, test_restores, test_sources, test_gateway, test_leaving_servers, test_layout and test_waits pass.

--- a/src/banyanshed/gateway/sources.py
+++ b/src/banyanshed/gateway/sources.py
@@ -57,7 +57,7 @@
         self.address = address
         self.clients: dict[str, clients.HttpClient] = {}
 
-    async def read_table(self, table: str) -> wire.Page:
+    async def read_table(self, table: str) -> mirrors.PeerPage:
         """Returns all rows of a table.
 
         Raises:
--- a/src/banyanshed/gateway/table_sync.py
+++ b/src/banyanshed/gateway/table_sync.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
 from urllib import parse
 
 from banyanshed import exceptions
@@ -21,6 +23,10 @@
 from banyanshed.steering import waits as waits_lib
 
 MAX_WAIT_S = 30.0
+# A method of PeerTables that reads a table by its name.
+PeerRead = Callable[
+    [sources.PeerTables, str], Coroutine[Any, Any, mirrors.PeerPage]
+]
 
 
 class TableSync:
@@ -166,19 +172,11 @@
         if member is None:
             return
         fingerprint = _report(member, mirror).confirmed
-        tables = sources.PeerTables((member.host.ip, self.port))
-        try:
-            async with asyncio.timeout(self._waits(mirror).copy_timeout_s):
-                page = await tables.read_confirmed(mirror.table)
-        except (TimeoutError, exceptions.PlatformError) as error:
-            logs.log_event(
-                "peer_copy_failed",
-                peer=member.host.id,
-                error=str(error) or "timeout",
-            )
+        page = await self._read_from_peer(
+            mirror, member, sources.PeerTables.read_confirmed
+        )
+        if page is None:
             return
-        finally:
-            tables.close()
         mirror.overlay.merged.add(fingerprint)
         changed = mirror.adopt(page, self.loop.time())
         logs.log_event(
@@ -228,22 +226,11 @@
     ) -> bool:
         """Copies a table from a peer; returns False if that failed."""
         waits = self._waits(mirror)
-        tables = sources.PeerTables((member.host.ip, self.port))
-        try:
-            async with asyncio.timeout(waits.copy_timeout_s):
-                page = await tables.read_table(mirror.table)
-        except TimeoutError:
-            logs.log_event(
-                "peer_copy_failed", peer=member.host.id, error="timeout"
-            )
-            return False
-        except exceptions.PlatformError as error:
-            logs.log_event(
-                "peer_copy_failed", peer=member.host.id, error=str(error)
-            )
+        page = await self._read_from_peer(
+            mirror, member, sources.PeerTables.read_table
+        )
+        if page is None:
             return False
-        finally:
-            tables.close()
         changed = self.applier.replace(mirror, page)
         logs.log_event(
             "table_copied",
@@ -257,6 +244,25 @@
         self.applier.apply(mirror, changed, f"peer {member.host.id}", max_age_s)
         return True
 
+    async def _read_from_peer(
+        self, mirror: mirrors.Mirror, member: members.Member, read: PeerRead
+    ) -> mirrors.PeerPage | None:
+        """Makes one call of a peer; returns None, and logs why, if it fails."""
+        tables = sources.PeerTables((member.host.ip, self.port))
+        try:
+            async with asyncio.timeout(self._waits(mirror).copy_timeout_s):
+                return await read(tables, mirror.table)
+        except (TimeoutError, exceptions.PlatformError) as error:
+            is_timeout = isinstance(error, TimeoutError)
+            logs.log_event(
+                "peer_copy_failed",
+                peer=member.host.id,
+                error="timeout" if is_timeout else str(error),
+            )
+            return None
+        finally:
+            tables.close()
+
 
 def _report(
     member: members.Member, mirror: mirrors.Mirror
