Let a relay vouch for the store only by its last answer

What callers saw: 404 for routes that a confirmed configuration had added (CONFIG), on hosts that the store served all along.

Cause: a relay took a poll that the store had taken and never answered for a poll without changes, for up to 10 s, four times the bound; its followers asked nobody else meanwhile.

Change: polls of relays last 0.9 s of a bound of 2.5 s, counted from the last answer; a relay whose last answer is older than 1.4 s refuses its followers, which then call the store. Calls time out after 0.4 of the time after which the bounds apply again, 1.2 s for 2 s before.

--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -120,7 +120,7 @@
         else:
             # While disconnected, a long poll would delay the detection that
             # the store answers again.
-            wait_s = source.wait_s if self.is_connected else 0.0
+            wait_s = self._wait_s(source) if self.is_connected else 0.0
             asked = mirror.table_version()
             page = await source.tables.read_changes(mirror.table, asked, wait_s)
             self._check_era(page.era)
@@ -136,6 +136,13 @@
             self.applier.apply(mirror, changed, source.name, max_age_s)
         return was_known and bool(changed)
 
+    def _wait_s(self, source: sources_lib.Source) -> float:
+        """Returns how long the next call may wait for changes."""
+        if not source.is_store:
+            return source.wait_s
+        answer_age_s = self.sent_at - self.mirror.answered_at
+        return max(0.0, source.wait_s - answer_age_s)
+
     def _waits(self) -> waits_lib.TableWaits:
         return self.applier.waits_of(self.mirror.table)
 
@@ -184,6 +191,7 @@
         now = self.applier.clock()
         self.applier.outage.end(now)
         if self.source.is_store:
+            self.mirror.answered_at = now
             self.mirror.set_follows_store(True)
         if self.is_connected:
             return
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -214,7 +214,8 @@
         self.store = store_lib.StoreClient(
             lambda: clients.HttpClient(
                 settings.store, self.waits.connect_timeout_s
-            )
+            ),
+            self.waits.call_timeout_s,
         )
         self.relays = relays.Relays(self.fleet, self.quotas, self.placing)
         self.gossip = gossip_lib.Gossip(
@@ -238,7 +239,7 @@
             settings.peer_port,
         )
         self.sources = sources.Sources(
-            self.store, self.relays, settings.peer_port
+            self.store, self.relays, self.waits, settings.peer_port
         )
         self.stopping = asyncio.Event()
         self.reload_requested = asyncio.Event()
@@ -419,6 +420,7 @@
         )
         self.retries.limits = self.settings.retries
         self.waits.update(self.settings.bounds)
+        self.store.call_timeout_s = self.waits.call_timeout_s
         logs.log_event("reloaded", changed=changed, at_next_start=fixed)
 
     def _update_state(self) -> None:
--- a/src/banyanshed/gateway/mirrors.py
+++ b/src/banyanshed/gateway/mirrors.py
@@ -40,6 +40,7 @@
         is_known: Whether the table was read at least once.
         follows_store: Whether the store answers this host's calls for the
             table.
+        answered_at: When it last answered one, in seconds of the loop's time.
         deleted: Deletions by key, oldest first.
         deleted_since: Version after which all deletions are known.
         changed: Event that is set at the next change of the rows or of
@@ -56,6 +57,7 @@
         self.changed_version = 0
         self.is_known = False
         self.follows_store = False
+        self.answered_at = float("-inf")
         self.deleted: dict[str, restores.Removal] = {}
         self.deleted_since = 0
         self.changed = asyncio.Event()
@@ -165,10 +167,12 @@
 
     async def wait_for_change(
         self, era: int, version: int, wait_s: float
-    ) -> None:
+    ) -> bool:
         """Waits until there is a change after a version, or for wait_s seconds.
 
-        Returns early when the store no longer answers or was restored.
+        Returns:
+            Whether it returned earlier, as there is a change, the store no
+            longer answers or was restored.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
@@ -178,6 +182,8 @@
                     and self.follows_store
                 ):
                     await self.changed.wait()
+                return True
+        return False
 
     def set_follows_store(self, follows: bool) -> None:
         """Sets whether the store answers and wakes up waiting calls."""
--- a/src/banyanshed/gateway/sources.py
+++ b/src/banyanshed/gateway/sources.py
@@ -23,11 +23,8 @@
 from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import relays as relays_lib
+from banyanshed.steering import waits as waits_lib
 
-# Duration of a long poll of the store. Relays poll more often, because the
-# other hosts learn from them that the store still answers.
-STORE_WAIT_S = 20.0
-RELAY_STORE_WAIT_S = 8.0
 # Duration of a long poll of a relay, and the additional time that its response
 # may take.
 PEER_WAIT_S = 2.0
@@ -137,6 +134,7 @@
         self,
         store: store_lib.StoreClient,
         relays: relays_lib.Relays,
+        waits: waits_lib.Waits,
         port: int,
     ):
         """Initializes the choice of sources.
@@ -144,9 +142,11 @@
         Args:
             store: Client of the platform's store.
             relays: The relays of large fleets.
+            waits: How long calls may wait for changes.
             port: Port of the traffic between hosts, the same on every host.
         """
-        self.store = Source("store", store, STORE_WAIT_S, True)
+        self.store = Source("store", store, waits.poll_s, True)
+        self.waits = waits
         self.relays = relays
         self.port = port
         self.peers: dict[str, PeerTables] = {}
@@ -160,7 +160,7 @@
             failures: Number of failed calls since the last successful one.
             now: Current time.
         """
-        source = self._choose(failures, now)
+        source = self._choose(table, failures, now)
         if self.current_names.get(table) != source.name:
             self.current_names[table] = source.name
             logs.log_event("feed_source", table=table, source=source.name)
@@ -171,13 +171,18 @@
         for peer in self.peers.values():
             peer.close()
 
-    def _choose(self, failures: int, now: float) -> Source:
+    def _choose(self, table: str, failures: int, now: float) -> Source:
         if not self.relays.is_needed(now):
             return self.store
         near = self.relays.own_region_relays(now)
         own = self.relays.fleet.own.id
         if own in {host.id for host in near}:
-            return dataclasses.replace(self.store, wait_s=RELAY_STORE_WAIT_S)
+            table_waits = self.waits.server_table
+            if table == wire.OPERATOR_TABLE:
+                table_waits = self.waits.operator_table
+            return dataclasses.replace(
+                self.store, wait_s=table_waits.relay_poll_s
+            )
         if failures >= len(near):
             return self.store
         first = xxhash.xxh32_intdigest(own.encode())
--- a/src/banyanshed/gateway/table_sync.py
+++ b/src/banyanshed/gateway/table_sync.py
@@ -87,10 +87,16 @@
         after: models.TableVersion,
         wait_s: float,
     ) -> messages.Response:
-        await mirror.wait_for_change(
-            after.era, after.number, min(wait_s, MAX_WAIT_S)
-        )
-        if not mirror.follows_store or mirror.era < after.era:
+        ends_at = self.loop.time() + min(wait_s, MAX_WAIT_S)
+        while self._vouches_until(mirror) > self.loop.time():
+            until = min(ends_at, self._vouches_until(mirror))
+            has_changed = await mirror.wait_for_change(
+                after.era, after.number, until - self.loop.time()
+            )
+            if has_changed or until == ends_at:
+                break
+        is_silent = self._vouches_until(mirror) <= self.loop.time()
+        if is_silent or not mirror.follows_store or mirror.era < after.era:
             # Hosts that followed each other without the store would all miss
             # new changes.
             return messages.Response(503)
@@ -100,6 +106,10 @@
         body = peer_messages.encode_page(page, self.loop.time())
         return messages.Response(200, (), body)
 
+    def _vouches_until(self, mirror: mirrors.Mirror) -> float:
+        """Returns until when the store's last answer says that it answers."""
+        return mirror.answered_at + self._waits(mirror).max_answer_age_s
+
     async def run(self) -> None:
         """Copies tables of which peers have newer versions, until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/src/banyanshed/platform/store.py
+++ b/src/banyanshed/platform/store.py
@@ -9,8 +9,6 @@
 from banyanshed.platform import wire
 from banyanshed.steering import models
 
-# Timeout of a call, added to the duration of a long poll.
-CALL_TIMEOUT_S = 2.0
 PAGE_ROWS = 500
 MAX_FEED_WAIT_S = 30.0
 
@@ -59,16 +57,22 @@
     Attributes:
         connect: Creates an HTTP client with a single connection.
         clients: Connections by table, and one for writes.
+        call_timeout_s: Timeout of a call in seconds, added to the duration of
+            a long poll.
         era: Newest era that the store named.
     """
 
-    def __init__(self, connect: Callable[[], HttpClient]):
+    def __init__(
+        self, connect: Callable[[], HttpClient], call_timeout_s: float
+    ):
         """Initializes the client.
 
         Args:
             connect: Creates an HTTP client with a single connection.
+            call_timeout_s: Timeout of a call in seconds.
         """
         self.connect = connect
+        self.call_timeout_s = call_timeout_s
         self.clients: dict[str, HttpClient] = {}
         self.era = 0
 
@@ -144,7 +148,7 @@
         connection_key: str,
     ) -> wire.Page:
         target = f"/api/{call}?{parse.urlencode(query)}"
-        timeout_s = wait_s + CALL_TIMEOUT_S
+        timeout_s = wait_s + self.call_timeout_s
         response = await self._call(
             connection_key, "GET", target, b"", timeout_s
         )
@@ -157,7 +161,8 @@
 
     async def _transact(self, body: bytes) -> None:
         target = "/api/rows-tx"
-        response = await self._call("tx", "POST", target, body, CALL_TIMEOUT_S)
+        timeout_s = self.call_timeout_s
+        response = await self._call("tx", "POST", target, body, timeout_s)
         if response.status != 200:
             raise exceptions.StoreUnavailable(f"status {response.status}")
 
--- a/src/banyanshed/steering/waits.py
+++ b/src/banyanshed/steering/waits.py
@@ -45,6 +45,17 @@
 RETRY_SHARE = 1.0 / 3.0
 RETRY_JITTER = 0.3
 CONNECT_TIMEOUT_SHARE = 0.3
+# Fractions of `Bounds.stable_s` again: the timeout of a call of the store, and
+# how long a call may wait there for changes. A call that was sent while the
+# store did not answer must have failed once the deadlines apply again.
+CALL_TIMEOUT_SHARE = 0.4
+POLL_SHARE = 0.3
+# Fractions of a table's deadline: how long a relay's call may wait at the store
+# for changes, and the age of the last answer from which a relay's followers
+# call the store themselves. A store that has taken a call but doesn't answer
+# can't be told from one without changes.
+RELAY_POLL_SHARE = 0.4
+ANSWER_AGE_SHARE = 0.56
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +70,10 @@
         far_copy_delay_s: The same for peers of other regions.
         check_interval_s: Interval at which the host checks for such peers.
         copy_timeout_s: Timeout of a copy.
+        relay_poll_s: How long a relay's call may wait at the store for
+            changes, counted from the last answer.
+        max_answer_age_s: Age of the last answer of the store from which a
+            relay no longer vouches for it.
     """
 
     bound_s: float
@@ -67,6 +82,8 @@
     far_copy_delay_s: float
     check_interval_s: float
     copy_timeout_s: float
+    relay_poll_s: float
+    max_answer_age_s: float
 
 
 class Waits:
@@ -80,8 +97,13 @@
         """Derives the delays and timeouts again from changed deadlines."""
         self.bounds = bounds
         operator_s = min(bounds.config_s, bounds.evacuate_s, bounds.revoke_s)
-        self.operator_table = _make_table(operator_s, OPERATOR_BATCH_SHARE)
-        self.server_table = _make_table(bounds.drain_s, SERVER_BATCH_SHARE)
+        self.poll_s = bounds.stable_s * POLL_SHARE
+        self.operator_table = _make_table(
+            operator_s, OPERATOR_BATCH_SHARE, self.poll_s
+        )
+        self.server_table = _make_table(
+            bounds.drain_s, SERVER_BATCH_SHARE, self.poll_s
+        )
         self.heartbeat_s = min(
             MAX_HEARTBEAT_S, HEARTBEAT_SHARE * min(operator_s, bounds.drain_s)
         )
@@ -91,6 +113,7 @@
         )
         self.max_retry_delay_s = bounds.stable_s * RETRY_SHARE
         self.connect_timeout_s = bounds.stable_s * CONNECT_TIMEOUT_SHARE
+        self.call_timeout_s = bounds.stable_s * CALL_TIMEOUT_SHARE
 
     def max_copy_age_s(self, table: TableWaits) -> float:
         """Returns the maximum age in seconds of changes in a copied table.
@@ -123,7 +146,9 @@
         return max(0.0, min(RE_REGISTRATION_S, remaining_s))
 
 
-def _make_table(bound_s: float, batch_share: float) -> TableWaits:
+def _make_table(
+    bound_s: float, batch_share: float, poll_s: float
+) -> TableWaits:
     batch_delay_s = bound_s * batch_share
     return TableWaits(
         bound_s,
@@ -132,4 +157,6 @@
         batch_delay_s + bound_s * FAR_COPY_SHARE,
         bound_s * CHECK_SHARE,
         bound_s * COPY_TIMEOUT_SHARE,
+        min(poll_s, bound_s * RELAY_POLL_SHARE),
+        bound_s * ANSWER_AGE_SHARE,
     )
