Ignore changes in a late answer that a copy already contains

Cause: a table copied from a peer while a feed's call waits is newer than the call's answer. A row that had been removed since was put back, and as the feed asks from the copy's number, its removal was never told again: an evacuation that had been taken back, or a server that had left, was in force for ever.

Evidence: found by reading for the same class as the relays' polls; the new test failed before.

Change: rows up to the number that the mirror matches are skipped.

--- a/src/banyanshed/gateway/mirrors.py
+++ b/src/banyanshed/gateway/mirrors.py
@@ -113,12 +113,13 @@
     def merge(self, page: wire.Page) -> list[wire.Row]:
         """Applies changes in order; returns those that count.
 
-        The page must be of the era of the rows.
+        The page must be of the era of the rows. It may be older than they are,
+        if the table was copied from a peer while the call waited.
         """
         changed = []
+        known_version = self.version
         for row in page.rows:
-            known = self.rows.get(row.key)
-            if known is not None and known.version >= row.version:
+            if row.version <= known_version:
                 continue
             before = self._current(row.key)
             self._put(row)
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -191,3 +191,13 @@
     for era in (2, 3):
         read(mirror, era=era)
     assert len(mirror.overlay.removals) <= restores.MAX_REMOVALS
+
+
+def test_a_late_answer_does_not_bring_back_what_was_removed():
+    mirror = make_mirror("op", config_row(1, 5), version=10)
+    # A peer's copy is newer than the answer to a call sent before it.
+    read(mirror, config_row(1, 5), evacuation("a1", 12), era=1, version=12)
+    read(mirror, config_row(1, 5), era=1, version=14)
+    late = wire.Page((evacuation("a1", 12),), 13, False, 1)
+    assert not mirror.merge(late)
+    assert set(mirror.current_rows()) == {"config"}
