--- a/src/banyanshed/gateway/crashes.py
+++ b/src/banyanshed/gateway/crashes.py
@@ -197,7 +197,7 @@
 
     async def _connect(self, server: models.Registration) -> Finding:
         try:
-            connection = await clients.open_connection(
+            connection = await self.connection_pools.connect(
                 server.address,
                 CHECK_TIMEOUT_S,
                 self.connection_pools.response_memory,
--- a/src/banyanshed/gateway/pools.py
+++ b/src/banyanshed/gateway/pools.py
@@ -1,6 +1,7 @@
 """Pools of idle connections to backend servers."""
 
 import collections
+from collections.abc import Awaitable, Callable
 
 from banyanshed.gateway import clients
 from banyanshed.gateway import memory
@@ -19,6 +20,9 @@
     """Idle connections by backend server.
 
     Times are in seconds of the event loop's clock.
+
+    Attributes:
+        connect: Opens a connection to an address within a timeout.
     """
 
     def __init__(self, response_memory: memory.ResponseMemory):
@@ -29,6 +33,10 @@
                 hold.
         """
         self.response_memory = response_memory
+        self.connect: Callable[
+            [models.Address, float, memory.ResponseMemory],
+            Awaitable[clients.Connection],
+        ] = clients.open_connection
         self.idle: dict[
             models.ServerId, collections.deque[clients.Connection]
         ] = {}
@@ -53,7 +61,7 @@
             if _is_reusable(connection, idempotent, now):
                 return connection
             connection.abort()
-        return await clients.open_connection(
+        return await self.connect(
             server.address, CONNECT_TIMEOUT_S, self.response_memory
         )
 
