Serve through a peer while this host reaches no backend server

Cause: a host blamed each server for its own links and had no way to a server but these.

If none answers, it passes requests on to ready peers, near ones first, until a server answers; a request that found no server is passed on, too. The peer serves it like its own, but neither charges the quota nor counts it again nor passes it on, and says whether a server may have run it. What a host observes of servers while its links are in doubt is not recorded and not told; heartbeats say that it is cut off, and the directory leaves it out where others suffice.

--- a/src/banyanshed/gateway/crashes.py
+++ b/src/banyanshed/gateway/crashes.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 import contextlib
 import enum
 
@@ -57,6 +57,8 @@
     Attributes:
         suspects: What is known of such requests.
         announce: Tells peers at once what is new; set by the host.
+        reaches_servers: Returns whether the host reaches any server; set by
+            the host.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self.counters = counters
         self.loop = asyncio.get_running_loop()
         self.announce: Callable[[], None] = lambda: None
+        self.reaches_servers: Callable[[], Awaitable[bool]] = _assume_reached
         self.checks: dict[models.ServerId, asyncio.Task[Finding]] = {}
         self.examinations: set[asyncio.Task[None]] = set()
         self.is_announcing = False
@@ -169,6 +172,9 @@
         server: models.Registration,
     ) -> None:
         finding = await self._check(server)
+        if finding is Finding.ENDED and not await self.reaches_servers():
+            # The host's own links failed; servers may run.
+            finding = Finding.UNKNOWN
         self.counters.count_lost_request(plan.service, finding.value)
         request_id = request.find(header_names.REQUEST_ID) or b""
         logs.log_event(
@@ -239,6 +245,10 @@
         self.announce()
 
 
+async def _assume_reached() -> bool:
+    return True
+
+
 def compute_fingerprint(
     request: messages.Request, plan: routing.Plan
 ) -> models.Fingerprint:
--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -13,11 +13,14 @@
 from banyanshed.gateway import messages
 from banyanshed.gateway import metrics
 from banyanshed.gateway import pools
+from banyanshed.gateway import relaying
 from banyanshed.platform import headers as header_names
 from banyanshed.steering import budgets
 from banyanshed.steering import health
+from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import placement
+from banyanshed.steering import reachability as reachability_lib
 from banyanshed.steering import routing
 
 # Minimum remaining time for an attempt to be started.
@@ -100,6 +103,10 @@
         fingerprint: Hash of the request; 0 until it is planned.
         is_trial: Whether it tries whether servers bear a refused request.
         examination: Finds out whether the last attempt ended its server.
+        attempts_left_by_peer: Attempts that a peer left for the request that
+            it passed on; None for a request of an own caller.
+        asked_peers: Peers to which the request was passed on.
+        ending: How the request ended; None until then.
     """
 
     request: messages.Request
@@ -120,6 +127,22 @@
     fingerprint: models.Fingerprint = models.Fingerprint(0)
     is_trial: bool = False
     examination: asyncio.Task[None] | None = None
+    attempts_left_by_peer: int | None = None
+    asked_peers: list[models.HostId] = dataclasses.field(default_factory=list)
+    ending: Ending | None = None
+
+    def attempts_left(self, route: models.Route) -> int:
+        """Returns the number of attempts that the route still allows."""
+        allowed = route.attempts
+        if self.attempts_left_by_peer is not None:
+            allowed = min(allowed, self.attempts_left_by_peer)
+        return allowed - self.sent_count
+
+
+_RESULTS = {
+    Ending.ANSWERED: relaying.Result.ANSWERED,
+    Ending.REJECTED: relaying.Result.NOT_RUN,
+}
 
 
 class Forwarder:
@@ -137,6 +160,8 @@
         counters: metrics.Metrics,
         limits: limits_lib.LimitTracker,
         crash_detector: crashes.CrashDetector,
+        reachability: reachability_lib.Reachability,
+        peer_relay: relaying.PeerRelay,
     ):
         """Initializes the forwarder.
 
@@ -148,6 +173,8 @@
             counters: Metrics to update.
             limits: Learns the limits that backend servers name.
             crash_detector: Examines requests that were lost.
+            reachability: Whether the host reaches any server.
+            peer_relay: Passes requests on to peers if it does not.
         """
         self.router = router
         self.placing = placing
@@ -157,11 +184,39 @@
         self.counters = counters
         self.limits = limits
         self.crashes = crash_detector
+        self.reachability = reachability
+        self.peer_relay = peer_relay
+        self.relayed_in_flight = 0
         self.loop = asyncio.get_running_loop()
 
     async def serve(self, request: messages.Request) -> messages.Response:
         """Returns the response to a caller; errors become a 502 response."""
-        progress = Progress(request)
+        return await self._run(Progress(request))
+
+    async def serve_relayed(
+        self, request: messages.Request
+    ) -> messages.Response:
+        """Returns the response to a peer that passed a caller's request on."""
+        attempts = relaying.read_attempts(request)
+        request = relaying.strip_attempts(request)
+        result = relaying.Result.UNAVAILABLE
+        response = messages.Response(503)
+        # A host that is cut off, too, does not pass it on once more.
+        if attempts and not self.reachability.is_cut:
+            progress = Progress(request, attempts_left_by_peer=attempts)
+            self.relayed_in_flight += 1
+            try:
+                response = await self._run(progress)
+            finally:
+                self.relayed_in_flight -= 1
+            assert progress.ending is not None
+            result = _RESULTS.get(progress.ending, relaying.Result.FAILED)
+            if progress.plan is None and result is relaying.Result.NOT_RUN:
+                # This host may know an older configuration.
+                result = relaying.Result.UNAVAILABLE
+        return relaying.to_relaying_host(request, result, response)
+
+    async def _run(self, progress: Progress) -> messages.Response:
         try:
             response = await self._serve(progress)
         except asyncio.CancelledError:
@@ -174,7 +229,8 @@
         return response
 
     async def _serve(self, progress: Progress) -> messages.Response:
-        plan = self.router.plan(read_query(progress.request))
+        is_relayed = progress.attempts_left_by_peer is not None
+        plan = self.router.plan(read_query(progress.request), is_relayed)
         if isinstance(plan, routing.Refusal):
             progress.reason = plan.reason.value
             progress.inputs = plan.inputs
@@ -188,10 +244,19 @@
             progress.is_trial = await self.crashes.claim_trial(
                 progress.fingerprint
             )
-        self.retries.record_request(plan.service, self.loop.time())
+        if not is_relayed:
+            self.retries.record_request(plan.service, self.loop.time())
         while True:
             await self._wait_for_judgement(progress, plan)
+            if self.reachability.is_cut:
+                response = await self._serve_through_peer(progress, plan)
+                if response is not None:
+                    return response
             choice = self._next_server(progress, plan)
+            if choice is None and self._is_doubtful(progress):
+                response = await self._serve_through_peer(progress, plan)
+                if response is not None:
+                    return response
             if choice is None:
                 return self._respond_to_failure(progress, plan)
             response = await self._attempt(progress, plan, choice)
@@ -211,7 +276,7 @@
             return
         if progress.may_have_run and not plan.route.idempotent:
             return
-        if progress.sent_count >= plan.route.attempts:
+        if progress.attempts_left(plan.route) <= 0:
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(plan.expires_at):
@@ -231,6 +296,93 @@
         )
         return True
 
+    def _is_doubtful(self, progress: Progress) -> bool:
+        """Returns whether this host's links may be why no server was found."""
+        return self.reachability.is_suspected or progress.connect_failures > 0
+
+    async def _serve_through_peer(
+        self, progress: Progress, plan: routing.Plan
+    ) -> messages.Response | None:
+        """Passes a request on to peers; returns None if none could serve it."""
+        while self._may_ask_peer(progress, plan):
+            peer = self.peer_relay.choose_peer(plan, progress.asked_peers)
+            if peer is None:
+                return None
+            if progress.sent_count and not self.retries.try_spend(
+                plan.service, self.loop.time()
+            ):
+                progress.reason = f"{progress.reason}, no retry budget"
+                return None
+            progress.asked_peers.append(peer.host.id)
+            relayed = await self._ask_peer(progress, plan, peer)
+            if relayed is None:
+                continue
+            return self._respond_from_peer(progress, plan, relayed)
+        return None
+
+    def _may_ask_peer(self, progress: Progress, plan: routing.Plan) -> bool:
+        if progress.attempts_left_by_peer is not None:
+            return False
+        if self._is_stopped(progress):
+            return False
+        if progress.may_have_run and not plan.route.idempotent:
+            return False
+        if progress.attempts_left(plan.route) <= 0:
+            return False
+        return plan.expires_at - self.loop.time() >= MIN_ATTEMPT_S
+
+    async def _ask_peer(
+        self, progress: Progress, plan: routing.Plan, peer: members.Member
+    ) -> relaying.RelayedResponse | None:
+        """Asks one peer; returns None if another one may be asked."""
+        started_at = self.loop.time()
+        outcome = health.Outcome.ABANDONED.value
+        try:
+            relayed = await self.peer_relay.send(
+                progress.request,
+                plan,
+                peer,
+                progress.attempts_left(plan.route),
+            )
+            outcome = relayed.result.value
+            if relayed.result is relaying.Result.UNAVAILABLE:
+                return None
+            return relayed
+        except clients.ConnectFailed:
+            outcome = health.Outcome.UNREACHABLE.value
+            return None
+        except (clients.ResponseLost, TimeoutError) as error:
+            outcome = health.Outcome.FAILURE.value
+            progress.sent_count += 1
+            progress.may_have_run = True
+            progress.reason = str(error) or "timeout"
+            return None
+        finally:
+            elapsed_ms = round((self.loop.time() - started_at) * 1000.0)
+            progress.trace.append(
+                (f"peer {peer.host.id}", outcome, elapsed_ms, 0.0, False)
+            )
+
+    def _respond_from_peer(
+        self,
+        progress: Progress,
+        plan: routing.Plan,
+        relayed: relaying.RelayedResponse,
+    ) -> messages.Response:
+        """Returns the response to a caller whose request a peer served."""
+        response = relayed.response
+        if relayed.result is relaying.Result.ANSWERED:
+            self._record_end(progress, Ending.ANSWERED, response.status)
+            return response
+        if relayed.result is relaying.Result.NOT_RUN:
+            progress.reason = "rejected by a peer"
+            progress.retry_after_s = _read_retry_after_s(response)
+            return self._respond_to_failure(progress, plan)
+        progress.reason = "failed at a peer"
+        response = failure_to_caller(response)
+        self._record_end(progress, Ending.FAILED, response.status)
+        return response
+
     def _next_server(
         self, progress: Progress, plan: routing.Plan
     ) -> placement.Choice | None:
@@ -243,7 +395,7 @@
         if progress.connect_failures >= MAX_CONNECT_FAILURES:
             progress.reason = "unreachable"
             return None
-        if progress.sent_count >= plan.route.attempts:
+        if progress.attempts_left(plan.route) <= 0:
             progress.reason = progress.reason or "attempts_used"
             return None
         if progress.may_have_run and not plan.route.idempotent:
@@ -306,6 +458,7 @@
             progress.may_have_run_before = progress.may_have_run
             progress.may_have_run = True
             response = await self._exchange(progress, plan, entry, connection)
+            self.reachability.record_answer(self.loop.time())
             self.connection_pools.release(entry.id, connection)
             verdict = classify(response)
             if verdict is not Verdict.MISDIRECTED:
@@ -320,10 +473,12 @@
                 return response_to_caller(response)
         except clients.ConnectTimedOut:
             outcome = health.Outcome.CONNECT_TIMEOUT
+            self.reachability.record_connect_failure(entry.id)
             progress.connect_failures += 1
             progress.reason = "connect_timeout"
         except clients.ConnectFailed:
             outcome = health.Outcome.UNREACHABLE
+            self.reachability.record_connect_failure(entry.id)
             progress.connect_failures += 1
             progress.reason = "unreachable"
         except clients.ResponseLost as error:
@@ -468,6 +623,7 @@
         self, progress: Progress, ending: Ending, status: int
     ) -> None:
         elapsed_s = self.loop.time() - progress.request.arrived_at
+        progress.ending = ending
         plan = progress.plan
         service = plan.service if plan is not None else ""
         self.counters.count_request(service, ending, status, elapsed_s)
@@ -492,6 +648,8 @@
                 progress.fingerprint
             )
             fields["is_trial"] = progress.is_trial
+        if progress.attempts_left_by_peer is not None:
+            fields["attempts_left_by_peer"] = progress.attempts_left_by_peer
         if progress.skipped:
             fields["limited"] = sorted(progress.skipped)
         if progress.inputs:
@@ -579,6 +737,15 @@
     return response_to_caller(response)
 
 
+def _read_retry_after_s(response: messages.Response) -> float:
+    """Returns the time in a peer's refusal, in seconds."""
+    value = response.find(header_names.RETRY_AFTER)
+    try:
+        return float(value or DEFAULT_RETRY_AFTER_S)
+    except ValueError:
+        return DEFAULT_RETRY_AFTER_S
+
+
 def make_refusal(status: int, retry_after_s: float | None) -> messages.Response:
     """Returns a rejection, with a Retry-After header if a time is given."""
     if retry_after_s is None:
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -261,23 +261,25 @@
     ) -> peer_messages.Heartbeat:
         operators = self.mirrors[wire.OPERATOR_TABLE].report()
         servers = self.mirrors[wire.SERVER_TABLE].report()
+        in_flight = self.placing.health.in_flight_by_server()
+        evidence = self.outliers.report(self.loop.time())
+        if self.placing.health.ignores_results:
+            # A host that may be cut off says nothing about servers.
+            in_flight, evidence = {}, {}
         return peer_messages.Heartbeat(
             peer_messages.encode_host(self.fleet.own),
-            self.fleet.own_state,
+            peer_messages.encode_state(self.fleet.own_state),
             operators.version.number,
             servers.version.number,
             usages,
-            peer_messages.encode_work(
-                self.placing.health.in_flight_by_server()
-            ),
+            peer_messages.encode_work(in_flight),
             warm,
-            peer_messages.encode_evidence(
-                self.outliers.report(self.loop.time())
-            ),
+            peer_messages.encode_evidence(evidence),
             peer_messages.encode_limits(limits, self.applier.view.servers),
             demand,
             peer_messages.encode_eras(operators, servers),
             peer_messages.encode_suspects(suspects),
+            self.fleet.own_state is members.HostState.CUT,
         )
 
     def _handle_heartbeat(
@@ -287,7 +289,8 @@
         known = self.fleet.peers.get(host.id)
         is_new = known is None or known.host.started_ms < host.started_ms
         never_heard = known is None or known.heard_at is None
-        member = self.fleet.record_state(host, heartbeat.state, now)
+        state = peer_messages.decode_state(heartbeat)
+        member = self.fleet.record_state(host, state, now)
         if member is None:
             return
         member.update_tables(*peer_messages.decode_tables(heartbeat))
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -20,6 +20,7 @@
 from banyanshed.gateway import appliers
 from banyanshed.gateway import clients
 from banyanshed.gateway import crashes
+from banyanshed.gateway import cuts
 from banyanshed.gateway import feeds
 from banyanshed.gateway import forwarding
 from banyanshed.gateway import gossip as gossip_lib
@@ -31,6 +32,7 @@
 from banyanshed.gateway import metrics
 from banyanshed.gateway import mirrors
 from banyanshed.gateway import pools
+from banyanshed.gateway import relaying
 from banyanshed.gateway import sources
 from banyanshed.gateway import table_sync
 from banyanshed.platform import settings as settings_lib
@@ -45,6 +47,7 @@
 from banyanshed.steering import outliers
 from banyanshed.steering import placement
 from banyanshed.steering import quotas
+from banyanshed.steering import reachability
 from banyanshed.steering import relays
 from banyanshed.steering import routing
 from banyanshed.steering import suspects
@@ -80,6 +83,8 @@
 # three copies of a response exist while it is forwarded.
 MEMORY_SHARE_FOR_BODIES = 0.25
 MEMORY_SHARE_FOR_RESPONSES = 0.15
+# Size of the headers that peers add to callers' requests, in bytes.
+RELAY_HEADER_BYTES = 1024
 # Interval at which the host retries to announce itself in the host table while
 # the store does not answer.
 ANNOUNCE_RETRY_S = 1.0
@@ -110,6 +115,10 @@
         router: Finds the route, the service and the customer of a request.
         response_memory: Limits the memory of buffered responses.
         connection_pools: Connections to backend servers.
+        reachability: Whether the host reaches any server.
+        cut_detector: Checks that while it is in doubt.
+        peer_pools: Connections to peers for requests that are passed on.
+        peer_relay: Passes requests on to peers.
         retries: Budget of retries.
         limit_tracker: Learns the limits that backend servers name.
         crash_detector: Refuses requests that crash backend servers.
@@ -124,6 +133,7 @@
         sources: Where the tables are read from: the store or a peer.
         stopping: Set once the host is to stop.
         reload_requested: Set by SIGHUP until the settings are read again.
+        peer_listener: State of the connections of peers; set when opened.
         server: Server of the listener for callers; set when it is opened.
     """
 
@@ -178,6 +188,19 @@
             int(settings.memory_bytes * MEMORY_SHARE_FOR_RESPONSES)
         )
         self.connection_pools = pools.ConnectionPools(self.response_memory)
+        self.reachability = reachability.Reachability(self.health)
+        self.connection_pools.on_connected = self._record_connected
+        self.cut_detector = cuts.CutDetector(
+            self.reachability,
+            self.view,
+            self.health,
+            self.fleet,
+            self.connection_pools,
+        )
+        self.peer_pools = pools.ConnectionPools(self.response_memory)
+        self.peer_relay = relaying.PeerRelay(
+            self.fleet, self.peer_pools, settings.peer_port, random.random
+        )
         self.retries = budgets.RetryBudget(settings.retries)
         self.crash_detector = crashes.CrashDetector(
             suspects.Suspects(settings.host),
@@ -192,7 +215,10 @@
             self.counters,
             self.limit_tracker,
             self.crash_detector,
+            self.reachability,
+            self.peer_relay,
         )
+        self.crash_detector.reaches_servers = self.cut_detector.reaches_servers
         self.listener = listeners.Listener(
             self.forwarder.serve,
             models.ClientLimits(),
@@ -264,7 +290,7 @@
         self.loop.add_signal_handler(signal.SIGHUP, self.reload_requested.set)
         peers = (settings.ip, settings.peer_port)
         await gossip_lib.open_gossip(self.gossip, *peers, stack)
-        await self._listen(peers, self.table_sync.serve, stack)
+        self.peer_listener = await self._listen(peers, self._serve_peers, stack)
         await self._listen(settings.directory, self._serve_directory, stack)
         await self._listen(settings.readiness, self._serve_readiness, stack)
         metrics_address = (settings.ip, self.metrics_port)
@@ -279,6 +305,7 @@
             feed = feeds.Feed(mirror, self.sources, self.applier, self.counters)
             self._spawn(feed.run(), stack)
         self._spawn(self.table_sync.run(), stack)
+        self._spawn(self.cut_detector.run(), stack)
         self._spawn(self._announce(), stack)
         self._spawn(self._run_housekeeping(), stack)
         self._spawn(self._watch_settings(), stack)
@@ -288,7 +315,7 @@
         address: models.Address,
         handler: listeners.Handler,
         stack: contextlib.AsyncExitStack,
-    ) -> None:
+    ) -> listeners.Listener:
         listener = listeners.Listener(
             handler,
             models.ClientLimits(),
@@ -296,6 +323,7 @@
             self.response_memory,
         )
         await listeners.listen(address, listener, stack)
+        return listener
 
     def _spawn(self, coroutine: object, stack: object) -> None:
         assert asyncio.iscoroutine(coroutine)
@@ -373,6 +401,7 @@
                 self.applier.expire(mirror)
             now = self.loop.time()
             self.connection_pools.close_expired(now)
+            self.peer_pools.close_expired(now)
             self.limit_tracker.drop_absent(now)
             self.placing.throttle.drop_expired(now)
             self.crash_detector.judge()
@@ -459,8 +488,24 @@
         self.placing.saturation.forget(server)
         self.connection_pools.drop(server)
 
+    def _record_connected(self) -> None:
+        self.reachability.record_connected(self.loop.time())
+
     def _set_limits(self, configuration: models.Configuration) -> None:
         self.listener.limits = configuration.limits
+        # Peers pass callers' requests on, with some more headers.
+        self.peer_listener.limits = dataclasses.replace(
+            configuration.limits,
+            header_bytes=configuration.limits.header_bytes + RELAY_HEADER_BYTES,
+        )
+
+    async def _serve_peers(
+        self, request: messages.Request
+    ) -> messages.Response:
+        """Serves a peer a table, or a request that it passes on."""
+        if request.find(relaying.ATTEMPTS_HEADER) is not None:
+            return await self.forwarder.serve_relayed(request)
+        return await self.table_sync.serve(request)
 
     async def _serve_directory(
         self, request: messages.Request
@@ -488,7 +533,7 @@
         self, request: messages.Request
     ) -> messages.Response:
         del request
-        ready = self.fleet.own_state is members.HostState.READY
+        ready = self.fleet.own_state in members.SERVING_STATES
         return messages.Response(200 if ready else 503)
 
     async def _serve_metrics(
@@ -543,7 +588,7 @@
         for connection in list(self.listener.connections):
             if connection.is_idle:
                 connection.close()
-        while self.listener.connections:
+        while self.listener.connections or self.forwarder.relayed_in_flight:
             if self.loop.time() - stop_started_at > stop_s * FINISH_SHARE:
                 break
             await asyncio.sleep(0.02)
--- a/src/banyanshed/gateway/peer_messages.py
+++ b/src/banyanshed/gateway/peer_messages.py
@@ -140,6 +140,8 @@
     demand: list[EncodedDemand] | None = None
     tables: EncodedEras = EncodedEras()
     suspects: list[EncodedSuspect] = []
+    # Whether the host, which is ready, reaches no backend server.
+    is_cut: bool = False
 
 
 class Suspicions(msgspec.Struct, array_like=True, tag="s", frozen=True):
@@ -206,6 +208,8 @@
     demand: list[EncodedDemand] = []
     tables: EncodedEras = EncodedEras()
     suspects: list[EncodedSuspect] = []
+    # Those of the ready hosts that reach no backend server.
+    cut: list[int] = []
 
 
 _MESSAGE = msgspec.msgpack.Decoder(Heartbeat | Contacts | Digest | Suspicions)
@@ -296,6 +300,7 @@
         states = dict.fromkeys(digest.ready, members.HostState.READY)
         states |= dict.fromkeys(digest.starting, members.HostState.STARTING)
         states |= dict.fromkeys(digest.leaving, members.HostState.LEAVING)
+        states |= dict.fromkeys(digest.cut, members.HostState.CUT)
         return relays.Summary(
             decode_host(digest.relay),
             *decode_tables(digest),
@@ -441,7 +446,7 @@
             encode_host(summary.relay),
             summary.operators.version.number,
             summary.servers.version.number,
-            by_state[members.HostState.READY],
+            by_state[members.HostState.READY] + by_state[members.HostState.CUT],
             by_state[members.HostState.STARTING],
             by_state[members.HostState.LEAVING],
             [encode_host(host) for host in summary.identities],
@@ -453,6 +458,7 @@
             encode_demand(summary.demand),
             encode_eras(summary.operators, summary.servers),
             encode_suspects(summary.suspects),
+            by_state[members.HostState.CUT],
         )
     )
 
@@ -587,6 +593,20 @@
     ]
 
 
+def encode_state(state: members.HostState) -> members.HostState:
+    """Returns the state in a heartbeat, which hosts of all releases know."""
+    if state is members.HostState.CUT:
+        return members.HostState.READY
+    return state
+
+
+def decode_state(heartbeat: Heartbeat) -> members.HostState:
+    """Decodes the state of the host that sent a heartbeat."""
+    if heartbeat.is_cut and heartbeat.state is members.HostState.READY:
+        return members.HostState.CUT
+    return heartbeat.state
+
+
 def encode_host(host: members.Host) -> EncodedHost:
     """Encodes a host's identity."""
     return EncodedHost(host.id, host.ip, host.zone, host.started_ms)
--- a/src/banyanshed/gateway/pools.py
+++ b/src/banyanshed/gateway/pools.py
@@ -23,6 +23,7 @@
 
     Attributes:
         connect: Opens a connection to an address within a timeout.
+        on_connected: Called when a new connection is open.
     """
 
     def __init__(self, response_memory: memory.ResponseMemory):
@@ -37,6 +38,7 @@
             [models.Address, float, memory.ResponseMemory],
             Awaitable[clients.Connection],
         ] = clients.open_connection
+        self.on_connected: Callable[[], None] = lambda: None
         self.idle: dict[
             models.ServerId, collections.deque[clients.Connection]
         ] = {}
@@ -61,9 +63,11 @@
             if _is_reusable(connection, idempotent, now):
                 return connection
             connection.abort()
-        return await self.connect(
+        connection = await self.connect(
             server.address, CONNECT_TIMEOUT_S, self.response_memory
         )
+        self.on_connected()
+        return connection
 
     def release(
         self, server: models.ServerId, connection: clients.Connection
@@ -78,6 +82,11 @@
         for connection in self.idle.pop(server, ()):
             connection.abort()
 
+    def drop_all(self) -> None:
+        """Closes all idle connections."""
+        for server in list(self.idle):
+            self.drop(server)
+
     def close_expired(self, now: float) -> None:
         """Drops connections that were closed or idle for too long."""
         for server, idle_connections in list(self.idle.items()):
--- /dev/null
+++ b/src/banyanshed/gateway/relaying.py
@@ -0,0 +1,203 @@
+"""Sends requests through peers while this host reaches no backend server.
+
+The peer gets the caller's request as it is, with a header that says how many
+attempts are left. It serves it like its own, but for the customer's quota and
+the count of requests, which this host has taken, and it never passes it on to
+another peer. Its response says whether a server may have run the request.
+"""
+
+import asyncio
+from collections.abc import Callable, Collection, Sequence
+import dataclasses
+import enum
+
+from banyanshed.gateway import messages
+from banyanshed.gateway import pools
+from banyanshed.platform import headers as header_names
+from banyanshed.steering import members
+from banyanshed.steering import models
+from banyanshed.steering import routing
+
+# Number of attempts that are left, in a request that a peer passes on.
+ATTEMPTS_HEADER = b"banyanshed-attempts"
+# What became of the request at the peer, in its response.
+RESULT_HEADER = b"banyanshed-result"
+# Peers that are asked for one request.
+MAX_PEERS = 3
+
+
+class Result(enum.Enum):
+    """What became of a request at a peer.
+
+    Attributes:
+        ANSWERED: The response is a server's final one.
+        NOT_RUN: No server can have run the request.
+        FAILED: A server may have run it; the response is for the caller.
+        UNAVAILABLE: The peer could not try; another one may.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedResponse:
+    """A peer's response to a request that was passed on.
+
+    Attributes:
+        result: What became of the request.
+        response: The response for the caller.
+    """
+
+    result: Result
+    response: messages.Response
+
+
+class PeerRelay:
+    """Passes requests on to peers that reach the servers."""
+
+    def __init__(
+        self,
+        fleet: members.Members,
+        connection_pools: pools.ConnectionPools,
+        port: int,
+        random: Callable[[], float],
+    ):
+        """Initializes the relay.
+
+        Args:
+            fleet: The peers.
+            connection_pools: Connections to peers.
+            port: Port of the traffic between hosts, the same on every host.
+            random: Returns random numbers from 0 up to 1.
+        """
+        self.fleet = fleet
+        self.connection_pools = connection_pools
+        self.port = port
+        self.random = random
+        self.loop = asyncio.get_running_loop()
+
+    def choose_peer(
+        self, plan: routing.Plan, tried: Collection[models.HostId]
+    ) -> members.Member | None:
+        """Returns a peer for a request; None if there is none to ask."""
+        if len(tried) >= MAX_PEERS:
+            return None
+        return self.fleet.choose_helper(
+            plan.home_regions, tried, self.random, self.loop.time()
+        )
+
+    async def send(
+        self,
+        request: messages.Request,
+        plan: routing.Plan,
+        peer: members.Member,
+        attempts: int,
+    ) -> RelayedResponse:
+        """Sends a request through a peer.
+
+        Args:
+            request: The caller's request.
+            plan: Its route.
+            peer: The peer.
+            attempts: Number of servers that it may still be sent to.
+
+        Raises:
+            ConnectFailed: The peer can't be reached; nothing was sent.
+            ResponseLost: The peer may have passed the request on.
+            TimeoutError: The same.
+        """
+        entry = _register_peer(peer.host, self.port)
+        connection = await self.connection_pools.acquire(
+            entry, plan.route.idempotent, self.loop.time()
+        )
+        remaining_s = plan.expires_at - self.loop.time()
+        async with asyncio.timeout_at(plan.expires_at):
+            response = await connection.send(
+                _to_peer(request, remaining_s, attempts),
+                header_names.REQUEST_ID,
+            )
+        self.connection_pools.release(entry.id, connection)
+        return _read_response(response)
+
+
+def read_attempts(request: messages.Request) -> int | None:
+    """Returns the attempts that a peer left for a request.
+
+    None if the request was not passed on by a peer, or is malformed.
+    """
+    value = request.find(ATTEMPTS_HEADER)
+    if value is None or not value.isdigit() or len(value) > 3:
+        return None
+    return int(value)
+
+
+def strip_attempts(request: messages.Request) -> messages.Request:
+    """Returns the caller's request that a peer passed on."""
+    return dataclasses.replace(
+        request, headers=_without(request.headers, {ATTEMPTS_HEADER})
+    )
+
+
+def to_relaying_host(
+    request: messages.Request, result: Result, response: messages.Response
+) -> messages.Response:
+    """Returns the response that tells a peer what became of its request."""
+    headers = list(response.headers)
+    headers.append((RESULT_HEADER, result.value.encode()))
+    request_id = request.find(header_names.REQUEST_ID)
+    if request_id is not None and not response.find(header_names.REQUEST_ID):
+        headers.append((header_names.REQUEST_ID, request_id))
+    return messages.Response(response.status, headers, response.body)
+
+
+def _to_peer(
+    request: messages.Request, remaining_s: float, attempts: int
+) -> messages.Request:
+    headers = _without(
+        messages.strip_hop_by_hop(request.headers),
+        {ATTEMPTS_HEADER, header_names.DEADLINE_MS, b"expect"},
+    )
+    deadline = header_names.encode_deadline(remaining_s)
+    headers.append((header_names.DEADLINE_MS, deadline))
+    headers.append((ATTEMPTS_HEADER, str(attempts).encode()))
+    return messages.Request(
+        request.method, request.target, headers, request.body
+    )
+
+
+def _read_response(response: messages.Response) -> RelayedResponse:
+    """Decodes a peer's response; one without a result did not try."""
+    value = response.find(RESULT_HEADER)
+    result = Result.UNAVAILABLE
+    if value in {item.value.encode() for item in Result}:
+        assert value is not None
+        result = Result(value.decode())
+    headers = _without(
+        messages.strip_hop_by_hop(response.headers), {RESULT_HEADER}
+    )
+    return RelayedResponse(
+        result, messages.Response(response.status, headers, response.body)
+    )
+
+
+def _without(
+    headers: Sequence[tuple[bytes, bytes]], names: Collection[bytes]
+) -> list[tuple[bytes, bytes]]:
+    return [item for item in headers if item[0] not in names]
+
+
+def _register_peer(host: members.Host, port: int) -> models.Registration:
+    """Returns what the pools need to know of a peer."""
+    return models.Registration(
+        models.ServerId(f"peer {host.id}"),
+        (host.ip, port),
+        models.ServiceName(""),
+        host.zone,
+        1,
+        models.ServerState.READY,
+        0.0,
+        host.started_ms,
+    )
--- a/src/banyanshed/steering/health.py
+++ b/src/banyanshed/steering/health.py
@@ -112,6 +112,8 @@
         mean_latency_s: Moving average of the duration of successful attempts
             in seconds, by service.
         last_attempt: Number of the last attempt that was started.
+        ignores_results: Whether attempts say nothing about servers, as this
+            host may be cut off from all of them.
     """
 
     def __init__(self, outliers: outliers_lib.Outliers) -> None:
@@ -120,6 +122,7 @@
         self.records: dict[models.ServerId, ServerHealth] = {}
         self.mean_latency_s: dict[models.ServiceName, float] = {}
         self.last_attempt = 0
+        self.ignores_results = False
 
     def start_attempt(
         self,
@@ -182,6 +185,8 @@
 
     def count_slow_attempts(self, now: float) -> None:
         """Counts attempts in flight that have become slow as bad."""
+        if self.ignores_results:
+            return
         for server, record in self.records.items():
             for attempt in record.in_flight.values():
                 if attempt.is_counted or not _is_slow(attempt, now):
@@ -208,6 +213,23 @@
             return False
         return not self._is_stalled(record, service, now)
 
+    def waiting_servers(self, before: float) -> int:
+        """Returns the servers with a request that started before a time."""
+        count = 0
+        for record in self.records.values():
+            oldest = next(iter(record.in_flight.values()), None)
+            count += oldest is not None and oldest.started_at < before
+        return count
+
+    def reset_observations(self, now: float) -> None:
+        """Drops what this host observed of servers while it was cut off."""
+        self.outliers.reset_own()
+        for record in self.records.values():
+            record.connect_failures = 0
+            record.avoided_until = now
+            record.on_probation = False
+            record.answered_at = now
+
     def in_flight(self, server: models.ServerId) -> int:
         """Returns the number of this host's attempts in flight at a server."""
         record = self.records.get(server)
@@ -270,6 +292,8 @@
         """Counts an attempt unless it is no evidence of the server's health."""
         if attempt.is_counted or outcome is Outcome.REJECTED:
             return
+        if self.ignores_results:
+            return
         slow = _is_slow(attempt, now)
         if outcome in _UNANSWERED and not slow:
             return
--- a/src/banyanshed/steering/members.py
+++ b/src/banyanshed/steering/members.py
@@ -1,6 +1,6 @@
 """Fleet membership: which hosts are live, and which serve a caller."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 import dataclasses
 import enum
 
@@ -26,14 +26,20 @@
     Attributes:
         STARTING: It has not read the platform's tables yet.
         READY: It has read them, and callers may be sent to it.
+        CUT: It is ready, but reaches no backend server itself, so that it
+            passes requests on to peers.
         LEAVING: It is stopping.
     """
 
     STARTING = "starting"
     READY = "ready"
+    CUT = "cut"
     LEAVING = "leaving"
 
 
+SERVING_STATES = frozenset({HostState.READY, HostState.CUT})
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Host:
     """A host's identity.
@@ -199,6 +205,55 @@
         ids.append(self.own.id)
         return ids
 
+    def set_cut(self, is_cut: bool) -> bool:
+        """Sets whether this host reaches no server; returns if it changed.
+
+        Only a host that is ready can be in this state.
+        """
+        before, after = HostState.READY, HostState.CUT
+        if not is_cut:
+            before, after = after, before
+        if self.own_state is not before:
+            return False
+        self.own_state = after
+        return True
+
+    def choose_helper(
+        self,
+        regions: Collection[models.RegionName],
+        tried: Collection[models.HostId],
+        random: Callable[[], float],
+        now: float,
+    ) -> Member | None:
+        """Returns a ready peer to which this host passes a request on.
+
+        Peers of this host's region come first, unless more of its hosts are cut
+        off from the servers than are ready: then all regions share the load.
+
+        Args:
+            regions: Regions that may get the request; empty for all.
+            tried: Peers that were tried.
+            random: Returns random numbers from 0 up to 1.
+            now: Current time in seconds.
+        """
+        ready = []
+        cut_near = 1
+        for member in self.live(now):
+            is_near = self.is_in_own_region(member)
+            if member.state is HostState.CUT and is_near:
+                cut_near += 1
+            if member.state is not HostState.READY or member.host.id in tried:
+                continue
+            if regions and self.zones.get(member.host.zone) not in regions:
+                continue
+            ready.append(member)
+        if not ready:
+            return None
+        near = [member for member in ready if self.is_in_own_region(member)]
+        if near and random() * cut_near < len(near):
+            ready = near
+        return ready[int(random() * len(ready))]
+
     def contacts(self, now: float) -> list[Member]:
         """Returns the peers that messages are sent to."""
         return [
@@ -304,24 +359,30 @@
             zone: Availability zone of the caller.
             now: Current time in seconds.
         """
-        ready = self._ready(now)
-        nearest = [host for host in ready if host.zone == zone]
+        serving = self._serving(now)
+        nearest = [host for host in serving if host.zone == zone]
         if len(nearest) < MIN_HOSTS_IN_ZONE:
             nearest = [
-                host for host in ready if self.zones.get(host.zone) == region
+                host for host in serving if self.zones.get(host.zone) == region
             ]
         if not nearest:
+            nearest = list(serving)
+        # Hosts that are cut off from the servers are left out where the others
+        # can take their callers.
+        ready = [host for host in nearest if serving[host] is HostState.READY]
+        if 2 * len(ready) >= len(nearest):
             nearest = ready
         return [host.ip for host in nearest[:MAX_ADDRESSES]]
 
-    def _ready(self, now: float) -> list[Host]:
-        ready = []
-        if self.own_state is HostState.READY:
-            ready.append(self.own)
+    def _serving(self, now: float) -> dict[Host, HostState]:
+        """Returns the hosts that serve callers, with their states."""
+        serving = {}
+        if self.own_state in SERVING_STATES:
+            serving[self.own] = self.own_state
         for member in self.live(now):
-            if member.state is HostState.READY:
-                ready.append(member.host)
-        return ready
+            if member.state in SERVING_STATES:
+                serving[member.host] = member.state
+        return serving
 
     def _is_heard(self, member: Member, now: float) -> bool:
         return member.heard_at is not None and (
--- a/src/banyanshed/steering/outliers.py
+++ b/src/banyanshed/steering/outliers.py
@@ -204,6 +204,12 @@
             if not tallies:
                 del self.peer_tallies[server]
 
+    def reset_own(self) -> None:
+        """Drops this host's evidence, and ejections that may rest on it."""
+        self.tallies.clear()
+        self.own_recovered_at.clear()
+        self.ejections.clear()
+
     def forget(self, server: models.ServerId) -> None:
         """Drops all evidence on a removed or restarted server."""
         self.tallies.pop(server, None)
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -160,7 +160,9 @@
         states = {hash_host(m.host): m.state for m in near}
         states[hash_host(self.fleet.own)] = self.fleet.own_state
         ids = {member.host.id for member in near}
-        in_flight = dict(self.placing.health.in_flight_by_server())
+        in_flight = {}
+        if not self.placing.health.ignores_results:
+            in_flight.update(self.placing.health.in_flight_by_server())
         for id_ in ids:
             for server, count in self.placing.peer_in_flight.get(
                 id_, {}
--- a/src/banyanshed/steering/routing.py
+++ b/src/banyanshed/steering/routing.py
@@ -110,8 +110,15 @@
         self.quotas = quotas
         self.random = random
 
-    def plan(self, request: RoutingRequest) -> Plan | Refusal:
-        """Returns how to serve a request, or why to reject it."""
+    def plan(
+        self, request: RoutingRequest, is_admitted: bool = False
+    ) -> Plan | Refusal:
+        """Returns how to serve a request, or why to reject it.
+
+        Args:
+            request: What decides on its route.
+            is_admitted: Whether a peer has admitted it under the quota.
+        """
         configuration = self.view.configuration
         if configuration is None or not self.view.is_ready():
             return Refusal(Reason.NO_CONFIGURATION, 503, STARTUP_RETRY_AFTER_S)
@@ -135,7 +142,11 @@
                 home_regions & customer.home_regions or customer.home_regions
             )
         now = request.arrived_at
-        if customer is not None and not self.quotas.admit(customer, now):
+        if (
+            customer is not None
+            and not is_admitted
+            and not self.quotas.admit(customer, now)
+        ):
             bucket = self.quotas.bucket(customer, now)
             wait_s = bucket.retry_after_s(now)
             inputs = f"customer={customer.name} {bucket.describe(now)}"
