Bear odd entries of another writer among the servers and the hosts

What could happen: one entry that is nested very deeply, or holds a number of hundreds of digits, raised RecursionError or OverflowError where only the decoder's own error was expected. The feed's task failed, the process ended, and did so again at each start, as it reads the entry first. Rows of hosts with fields of another type, and nested datagrams, were the same.

Ports out of range were rejected already.

Change: such entries are malformed and name no server; numbers have limits.

--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -103,7 +103,7 @@
         """Handles a peer's message; logs one that can't be decoded."""
         try:
             message = peer_messages.decode(data)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             logs.log_event("peer_unreadable", peer=addr[0], error=str(error))
             return
         now = self.loop.time()
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -98,6 +98,20 @@
 PEER_REPLY_S = 0.25
 
 
+class HostRow(msgspec.Struct):
+    """A host's row in the store.
+
+    Attributes:
+        ip: IP address of the host.
+        zone: Its availability zone.
+        started_ms: Unix time of its process's start in milliseconds.
+    """
+
+    ip: str
+    zone: str
+    started_ms: int
+
+
 class Host:
     """One entry host.
 
@@ -379,16 +393,16 @@
 
     def _learn_host(self, entry: wire.Row, now: float) -> None:
         try:
-            fields = msgspec.json.decode(entry.value or b"{}")
-            host = members.Host(
-                models.HostId(entry.key),
-                fields["ip"],
-                fields["zone"],
-                fields["started_ms"],
-            )
-        except (msgspec.MsgspecError, KeyError, TypeError) as error:
+            row = msgspec.json.decode(entry.value or b"{}", type=HostRow)
+        except (msgspec.MsgspecError, RecursionError) as error:
             logs.log_event("host_row_unreadable", error=repr(error))
             return
+        host = members.Host(
+            models.HostId(entry.key),
+            row.ip,
+            models.ZoneName(row.zone),
+            row.started_ms,
+        )
         self.fleet.discover(host, now)
 
     async def _run_housekeeping(self) -> None:
--- a/src/banyanshed/platform/wire.py
+++ b/src/banyanshed/platform/wire.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 import dataclasses
 import functools
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -21,6 +21,15 @@
 EVACUATION_PREFIX = "evacuate/"
 
 
+# Limits on numbers in the entries of backend servers.
+MAX_SLOTS = 1_000_000
+MAX_COLD_S = 86_400.0
+_Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# What the decoder raises for other than well-formed messages; nested ones may
+# exceed the interpreter's stack.
+_DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+
+
 class MalformedMessage(exceptions.PlatformError):
     """A message or row of the platform can't be decoded."""
 
@@ -135,13 +144,13 @@
 class _WireInfo(msgspec.Struct):
     backend: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
 
 
 class _WireStatus(msgspec.Struct):
     state: str
     # Number of what the server has said since its start.
-    seq: int = 0
+    seq: _Counter = 0
     # How long the server stays cold after the entry was written.
     coldLeft: str = "0ms"  # noqa: N815
 
@@ -151,7 +160,7 @@
     info: _WireInfo
     status: _WireStatus
     # Unix time of the start of the server, in milliseconds.
-    born: int = 0
+    born: _Counter = 0
 
 
 _PAGE = msgspec.json.Decoder(_WirePage)
@@ -172,7 +181,7 @@
     try:
         wire = _PAGE.decode(body)
         rows = tuple(_decode_row(row) for row in wire.rows)
-    except (msgspec.MsgspecError, binascii.Error) as error:
+    except (*_DECODE_ERRORS, binascii.Error) as error:
         raise MalformedMessage(f"rows: {error}") from error
     return Page(rows, wire.ver, wire.hasMore, era)
 
@@ -215,7 +224,7 @@
             [_decode_customer(customer) for customer in wire.tenants or ()],
             _decode_limits(wire.limits),
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (*_DECODE_ERRORS, ValueError) as error:
         raise MalformedMessage(f"configuration: {error}") from error
 
 
@@ -227,6 +236,9 @@
     """
     try:
         wire = _SERVER.decode(value)
+        cold_left_s = durations.decode(wire.status.coldLeft)
+        if cold_left_s > MAX_COLD_S:
+            raise ValueError(f"cold for {wire.status.coldLeft}")
         return models.Registration(
             models.ServerId(id_),
             settings.decode_address(wire.addr),
@@ -234,10 +246,10 @@
             models.ZoneName(wire.info.zone),
             max(1, wire.info.slots),
             models.ServerState(wire.status.state),
-            durations.decode(wire.status.coldLeft),
+            cold_left_s,
             wire.born,
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (*_DECODE_ERRORS, ValueError) as error:
         raise MalformedMessage(f"server {id_}: {error}") from error
 
 
@@ -262,7 +274,7 @@
         if table == SERVER_TABLE:
             wire = _SERVER.decode(value)
             return models.WriterOrder(wire.born, wire.status.seq)
-    except (msgspec.MsgspecError, MalformedMessage):
+    except (*_DECODE_ERRORS, MalformedMessage):
         return None
     return None
 
