Take no response without a request id on a kept connection

What could happen: a faulty server wrote an earlier refusal once more, without the id of a request, on a connection that was in use again. The request that was running there was taken for refused: its caller got 503, or it was sent to a second server.

Refusals with the id of another request were skipped already. Servers that stop in the middle of an answer's head: new cases of an existing test, which pass on the code before, too.

Change: such a response ends the connection and counts as lost.

--- a/src/banyanshed/gateway/clients.py
+++ b/src/banyanshed/gateway/clients.py
@@ -58,6 +58,7 @@
         idle_limit_s: Idle time after which the peer closes the connection, in
             seconds; None if it has not sent one in a Keep-Alive header.
         is_open: Whether the connection can carry another request.
+        has_answered: Whether it has carried a response before.
     """
 
     def __init__(self, response_memory: memory.ResponseMemory | None = None):
@@ -74,6 +75,7 @@
         self.idle_since = self.loop.time()
         self.idle_limit_s: float | None = None
         self.is_open = False
+        self.has_answered = False
         self.waiter: asyncio.Future[messages.Response] | None = None
         self.request: h11.Request | None = None
         self.request_body = b""
@@ -222,6 +224,11 @@
         if echoed is not None and echoed != self.expected_id:
             self._skip_response(trailing)
             return
+        if echoed is None and self.id_header is not None and self.has_answered:
+            # It may be an earlier response that was written again.
+            self.terminate("a response on a kept connection names no request")
+            return
+        self.has_answered = True
         status = self.response.status_code
         response = messages.Response(status, headers, bytes(self.body))
         self._reuse_or_close(headers, bool(trailing) or echoed is None)
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -192,7 +192,9 @@
         if more.done():
             http.receive_data(more.result())
         else:
+            # Another read may start only once this one has ended.
             more.cancel()
+            await asyncio.wait({more})
         await action
 
 
@@ -207,5 +209,7 @@
 def _next_cycle(http: h11.Connection) -> h11.Connection:
     """Returns a parser for the next request, with the bytes left over."""
     fresh = h11.Connection(h11.SERVER)
-    fresh.receive_data(http.trailing_data[0])
+    if http.trailing_data[0]:
+        # h11 takes empty input as EOF.
+        fresh.receive_data(http.trailing_data[0])
     return fresh
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -40,6 +40,11 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
         b"no answer at all\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+        b"HTTP/1.1 200 OK",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Banyanshed-Request-Id: id1\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nX-Banyanshed-Request-Id: id1\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Banyanshed-Request-Id: id1\r\n\r",
     ],
 )
 def test_a_malformed_response_is_retried_on_another_server(data):
@@ -162,3 +167,44 @@
         assert response.status == 200
 
     gateway_fleet.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("named", [True, False])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_an_earlier_refusal_that_is_written_again_refuses_no_other_request(
+    named, method
+):
+    async def scenario(fleet):
+        refusal = [
+            "HTTP/1.1 503 Service Unavailable",
+            "X-Banyanshed-Not-Executed: 1",
+            "Content-Length: 0",
+        ]
+
+        async def refuse_again(exchange):
+            # The request is running when the earlier refusal is written again.
+            lines = list(refusal)
+            if named:
+                lines.append("X-Banyanshed-Request-Id: id0")
+            exchange.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            await asyncio.sleep(0.05)
+            exchange.respond()
+
+        path = "/u/x" if method == "POST" else "/r/x"
+        connection = await fleet.connect()
+        for _ in range(2):
+            request = fleet.request(path, method=method, body=b"")
+            assert (await connection.send(request)).status == 200
+        for server in fleet.servers.values():
+            server.action = refuse_again
+        request = fleet.request(path, method=method, body=b"")
+        response = await connection.send(request)
+        assert response.status in (200, 502)
+        sent = [
+            exchange
+            for exchange in gateway_fleet.all_exchanges(fleet)
+            if exchange.headers["x-banyanshed-request-id"] == "id3"
+        ]
+        assert method == "GET" or len(sent) == 1
+
+    gateway_fleet.run_scenario(scenario, servers=("i1",))
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -233,8 +233,8 @@
     )
     assert peer_messages.decode(peer_messages.encode(heartbeat)) == heartbeat
     fields = msgspec.msgpack.decode(peer_messages.encode(heartbeat))
-    old = peer_messages.decode(msgspec.msgpack.encode(fields[:-4]))
+    old = peer_messages.decode(msgspec.msgpack.encode(fields[:-5]))
     assert old.limits == [] and old.demand is None
     with pytest.raises(msgspec.MsgspecError):
-        fields[-4] = [[process, "fast", 0]]
+        fields[-5] = [[process, "fast", 0]]
         peer_messages.decode(msgspec.msgpack.encode(fields))
