Check more servers, and those that have not failed first, before taking links to be cut

Change: five servers; those that the host has just failed to reach come last. More tests of hosts that are cut off: the way back, starts within a cut, all hosts cut off, unsafe requests, truthful refusals, leaving callers, quotas.

--- a/src/banyanshed/gateway/crashes.py
+++ b/src/banyanshed/gateway/crashes.py
@@ -57,8 +57,8 @@
     Attributes:
         suspects: What is known of such requests.
         announce: Tells peers at once what is new; set by the host.
-        reaches_servers: Returns whether the host reaches any server; set by
-            the host.
+        reaches_servers: Returns whether the host reaches any server but the
+            given one; set by the host.
     """
 
     def __init__(
@@ -79,7 +79,8 @@
         self.counters = counters
         self.loop = asyncio.get_running_loop()
         self.announce: Callable[[], None] = lambda: None
-        self.reaches_servers: Callable[[], Awaitable[bool]] = _assume_reached
+        self.reaches_servers: Callable[[models.ServerId], Awaitable[bool]]
+        self.reaches_servers = _assume_reached
         self.checks: dict[models.ServerId, asyncio.Task[Finding]] = {}
         self.examinations: set[asyncio.Task[None]] = set()
         self.is_announcing = False
@@ -172,9 +173,10 @@
         server: models.Registration,
     ) -> None:
         finding = await self._check(server)
-        if finding is Finding.ENDED and not await self.reaches_servers():
-            # The host's own links failed; servers may run.
-            finding = Finding.UNKNOWN
+        if finding is Finding.ENDED:
+            # If the host's own links failed, the server may run.
+            reached = await self.reaches_servers(server.id)
+            finding = Finding.ENDED if reached else Finding.UNKNOWN
         self.counters.count_lost_request(plan.service, finding.value)
         request_id = request.find(header_names.REQUEST_ID) or b""
         logs.log_event(
@@ -245,7 +247,8 @@
         self.announce()
 
 
-async def _assume_reached() -> bool:
+async def _assume_reached(lost: models.ServerId) -> bool:
+    del lost
     return True
 
 
--- a/src/banyanshed/gateway/cuts.py
+++ b/src/banyanshed/gateway/cuts.py
@@ -8,6 +8,7 @@
 from banyanshed.gateway import pools
 from banyanshed.steering import health as health_lib
 from banyanshed.steering import members
+from banyanshed.steering import models
 from banyanshed.steering import reachability as reachability_lib
 from banyanshed.steering import views
 
@@ -53,11 +54,15 @@
             if self.reachability.needs_check(self.loop.time()):
                 await self._check()
 
-    async def reaches_servers(self) -> bool:
+    async def reaches_servers(self, lost: models.ServerId) -> bool:
         """Checks the links at once; returns whether a server answers.
 
         With fewer servers than a check connects to, all of them may have ended.
+
+        Args:
+            lost: Server that refuses connections.
         """
+        self.reachability.record_connect_failure(lost)
         if len(self.view.servers) <= reachability_lib.CHECKED_SERVERS:
             return True
         if self.check is None:
@@ -72,7 +77,10 @@
 
     async def _check(self) -> None:
         servers = reachability_lib.choose_checked(
-            self.view, self.fleet.own.zone, random.shuffle
+            self.view,
+            self.fleet.own.zone,
+            self.reachability.failed,
+            random.shuffle,
         )
         # One answer is enough, so the others are asked only without it.
         reached = await self._connect(servers[0])
--- a/src/banyanshed/steering/reachability.py
+++ b/src/banyanshed/steering/reachability.py
@@ -6,7 +6,7 @@
 What it observes of servers meanwhile says nothing about them.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from banyanshed.steering import health as health_lib
 from banyanshed.steering import models
@@ -18,7 +18,7 @@
 # they count as silent, in seconds.
 SILENCE_S = 0.7
 # Servers that are connected to in a check.
-CHECKED_SERVERS = 3
+CHECKED_SERVERS = 5
 # Time between checks, in seconds: after a successful one, and while the host is
 # cut off.
 CHECK_INTERVAL_S = 1.0
@@ -103,27 +103,33 @@
 def choose_checked(
     view: views.View,
     zone: models.ZoneName,
+    failed: Collection[models.ServerId],
     shuffle: Callable[[list[views.Server]], None],
 ) -> Sequence[views.Server]:
     """Returns the servers to connect to in a check.
 
     They are of as many availability zones as possible, the host's own first,
     so that neither a zone's failure nor its cut looks like that of the links.
+    Servers that have just failed come last, as they may have ended.
 
     Args:
         view: Known servers.
         zone: Availability zone of the host.
+        failed: Servers to which a connection has just failed.
         shuffle: Puts servers into a random order.
     """
     servers = list(view.servers.values())
     shuffle(servers)
     servers.sort(key=lambda server: server.registration.zone != zone)
-    chosen: list[views.Server] = []
+    first: list[views.Server] = []
+    others: list[views.Server] = []
+    last: list[views.Server] = []
     zones = set()
     for server in servers:
-        if server.registration.zone in zones:
+        entry = server.registration
+        if entry.id in failed:
+            last.append(server)
             continue
-        zones.add(server.registration.zone)
-        chosen.append(server)
-    chosen.extend(server for server in servers if server not in chosen)
-    return chosen[:CHECKED_SERVERS]
+        (others if entry.zone in zones else first).append(server)
+        zones.add(entry.zone)
+    return [*first, *others, *last][:CHECKED_SERVERS]
--- a/tests/test_cut_hosts.py
+++ b/tests/test_cut_hosts.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import enum
+import random
 
 import pytest
 
 from banyanshed.gateway import clients
+from banyanshed.steering import members
 from tests import gateway_fleet
 
 
@@ -93,3 +95,240 @@
             assert runs_of(fleet, f"id{fleet.request_number}") == 1
 
     gateway_fleet.run_scenario(scenario, hosts=3, servers=("i1", "i2", "i3"))
+
+
+def test_the_host_serves_itself_again_after_the_cut():
+    async def scenario(fleet):
+        await wait_until_known(fleet)
+        cut_off(fleet, "h1", Cut.REFUSED)
+        await call_until_served(fleet)
+        host = fleet.hosts["h1"]
+        await fleet.wait_until(lambda: host.reachability.is_cut)
+        assert host.fleet.own_state.value == "cut"
+        heal(fleet, "h1")
+        await fleet.wait_until(lambda: not host.reachability.is_cut)
+        assert host.fleet.own_state.value == "ready"
+        before = host.counters.attempts.labels("s", "success")._value.get()
+        assert (await fleet.call()).status == 200
+        after = host.counters.attempts.labels("s", "success")._value.get()
+        assert after == before + 1
+
+    gateway_fleet.run_scenario(scenario, hosts=2, servers=("i1", "i2"))
+
+
+def test_a_host_that_starts_within_a_cut_serves_through_a_peer():
+    async def scenario(fleet):
+        fleet.start_host("h3", gateway_fleet.host_ip(3))
+        cut_off(fleet, "h3", Cut.SILENT)
+        await fleet.wait_until_ready("h3")
+        await call_until_served(fleet, "h3")
+
+    gateway_fleet.run_scenario(scenario, hosts=2, servers=("i1", "i2", "i3"))
+
+
+def test_hosts_that_are_all_cut_off_refuse_at_once_and_ask_no_further_peer():
+    async def scenario(fleet):
+        await wait_until_known(fleet)
+        for name, host in fleet.hosts.items():
+            cut_off(fleet, name, Cut.RESET)
+            for _ in range(5):
+                await fleet.call(name=name)
+            await fleet.wait_until(lambda known=host: known.reachability.is_cut)
+        response = await fleet.call("/u/x", method="POST")
+        assert response.status == 503
+        assert response.find(b"retry-after") is not None
+        assert runs_of(fleet, f"id{fleet.request_number}") == 0
+
+    gateway_fleet.run_scenario(scenario, hosts=3, servers=("i1", "i2"))
+
+
+def test_an_unsafe_request_that_a_peer_lost_is_not_sent_again():
+    async def scenario(fleet):
+        await wait_until_known(fleet)
+        cut_off(fleet, "h1", Cut.REFUSED)
+        await call_until_served(fleet)
+
+        async def reset(exchange):
+            exchange.reset()
+
+        for server in fleet.servers.values():
+            server.action = reset
+        response = await fleet.call("/u/x", method="POST", body=b"x")
+        assert response.status == 502
+        assert runs_of(fleet, f"id{fleet.request_number}") == 1
+
+    gateway_fleet.run_scenario(scenario, hosts=3, servers=("i1", "i2", "i3"))
+
+
+def test_an_unsafe_request_to_a_peer_that_goes_silent_is_not_sent_again():
+    async def scenario(fleet):
+        await wait_until_known(fleet)
+        cut_off(fleet, "h1", Cut.REFUSED)
+        await call_until_served(fleet)
+        for server in fleet.servers.values():
+            server.action = gateway_fleet.answer_after(30.0)
+        call = asyncio.ensure_future(
+            fleet.call(
+                "/u/x",
+                method="POST",
+                body=b"x",
+                x_banyanshed_deadline_ms="500",
+            )
+        )
+        assert (await call).status in (502, 504)
+        assert runs_of(fleet, f"id{fleet.request_number}") == 1
+
+    gateway_fleet.run_scenario(scenario, hosts=3, servers=("i1", "i2", "i3"))
+
+
+def test_a_refusal_of_a_peers_servers_says_that_the_request_has_not_run():
+    async def scenario(fleet):
+        await wait_until_known(fleet)
+        cut_off(fleet, "h1", Cut.REFUSED)
+        await call_until_served(fleet)
+
+        async def reject(exchange):
+            exchange.respond(503, b"", X_Banyanshed_Not_Executed="1")
+
+        for server in fleet.servers.values():
+            server.action = reject
+        response = await fleet.call("/u/x", method="POST", body=b"x")
+        assert response.status == 503
+        assert response.find(b"retry-after") is not None
+
+    gateway_fleet.run_scenario(scenario, hosts=3, servers=("i1", "i2", "i3"))
+
+
+def test_a_client_that_leaves_ends_its_request_at_the_server():
+    async def scenario(fleet):
+        await wait_until_known(fleet)
+        cut_off(fleet, "h1", Cut.REFUSED)
+        await call_until_served(fleet)
+        for server in fleet.servers.values():
+            server.action = gateway_fleet.answer_after(30.0)
+        call = asyncio.ensure_future(
+            fleet.call("/u/x", method="POST", body=b"x")
+        )
+        request_id = f"id{fleet.request_number + 1}"
+        await fleet.wait_until(lambda: runs_of(fleet, request_id) == 1)
+        call.cancel()
+        await fleet.wait_until(
+            lambda: any(s.cancelled for s in fleet.servers.values())
+        )
+
+    gateway_fleet.run_scenario(scenario, hosts=3, servers=("i1", "i2", "i3"))
+
+
+def test_quota_and_requests_are_counted_at_the_first_host_only():
+    async def scenario(fleet):
+        await wait_until_known(fleet)
+        cut_off(fleet, "h1", Cut.REFUSED)
+        await call_until_served(fleet)
+        counted = []
+        before = {}
+        for name, host in fleet.hosts.items():
+            buckets = host.quotas.buckets.values()
+            before[name] = sum(bucket.admitted for bucket in buckets)
+            host.retries.record_request = (
+                lambda service, now, counted_name=name: counted.append(
+                    counted_name
+                )
+            )
+        for _ in range(5):
+            assert (await fleet.call()).status == 200
+        assert counted == ["h1"] * 5
+        for name, host in fleet.hosts.items():
+            buckets = host.quotas.buckets.values()
+            admitted = sum(bucket.admitted for bucket in buckets)
+            assert admitted == before[name] + (5 if name == "h1" else 0)
+
+    customers = [
+        {
+            "name": "club",
+            "apiKeys": [gateway_fleet.API_KEY],
+            "ratePerS": 1000,
+            "burst": 1000,
+        }
+    ]
+    gateway_fleet.run_scenario(
+        scenario,
+        hosts=3,
+        servers=("i1", "i2", "i3"),
+        config=gateway_fleet.configuration(customers=customers),
+    )
+
+
+@pytest.mark.parametrize("how", list(Cut))
+def test_a_cut_host_tells_its_peers_nothing_about_servers(how):
+    async def scenario(fleet):
+        await wait_until_known(fleet)
+        for _ in range(5):
+            await fleet.call()
+        for server in fleet.servers.values():
+            server.action = gateway_fleet.answer_after(1.0)
+        calls = [asyncio.ensure_future(fleet.call()) for _ in range(6)]
+        await asyncio.sleep(0.2)
+        cut_off(fleet, "h1", how)
+        await asyncio.gather(*calls, return_exceptions=True)
+        await call_until_served(fleet)
+        host = fleet.hosts["h1"]
+        await fleet.wait_until(lambda: host.reachability.is_cut)
+        await asyncio.sleep(1.5)
+        for peer in (fleet.hosts["h2"], fleet.hosts["h3"]):
+            assert not peer.crash_detector.suspects.report_all(peer.loop.time())
+            assert "h1" not in {
+                name
+                for tallies in peer.health.outliers.peer_tallies.values()
+                for name in tallies
+            }
+            assert not peer.placing.peer_in_flight.get("h1")
+
+    gateway_fleet.run_scenario(
+        scenario, hosts=3, servers=tuple(f"i{n}" for n in range(7))
+    )
+
+
+def make_members(states):
+    """Returns a host's members in two regions, by zone and state."""
+    own = members.Host("own", "10.0.0.1", "a1", 1)
+    fleet = members.Members(own, {"a1": "a", "a2": "a", "b1": "b"})
+    fleet.own_state = members.HostState.CUT
+    for number, (zone, state) in enumerate(states):
+        host = members.Host(f"h{number}", f"10.0.1.{number}", zone, 1)
+        fleet.record_state(host, state, 0.0)
+    return fleet
+
+
+def helpers_of(fleet, regions=()):
+    rng = random.Random(1)
+    chosen = set()
+    for _ in range(200):
+        member = fleet.choose_helper(regions, (), rng.random, 0.0)
+        if member is not None:
+            chosen.add(fleet.zones[member.host.zone])
+    return chosen
+
+
+READY = members.HostState.READY
+CUT = members.HostState.CUT
+
+
+def test_requests_with_home_regions_are_passed_on_within_them():
+    fleet = make_members([("a2", READY), ("b1", READY)])
+    assert helpers_of(fleet, {"b"}) == {"b"}
+    assert helpers_of(fleet, {"a"}) == {"a"}
+    assert helpers_of(fleet, {"c"}) == set()
+
+
+def test_requests_are_passed_on_within_the_region_where_it_bears_them():
+    fleet = make_members([("a2", READY), ("b1", READY), ("b1", READY)])
+    assert helpers_of(fleet) == {"a"}
+    fleet = make_members([("a1", CUT)] * 6 + [("a2", READY), ("b1", READY)])
+    assert helpers_of(fleet) == {"a", "b"}
+
+
+def test_the_directory_leaves_out_cut_hosts_where_others_suffice():
+    fleet = make_members([("a1", READY), ("a1", READY), ("a1", CUT)])
+    assert "10.0.0.1" not in fleet.resolve("a", "a1", 0.0)
+    fleet = make_members([("a1", CUT), ("a1", CUT), ("a2", READY)])
+    assert "10.0.0.1" in fleet.resolve("a", "a1", 0.0)
