Count hosts that were never heard for a limited time, and charge peers cheaply

Cause: rows of hosts that are gone for good stay in the store, so a host that starts would take them for silent ones for ten minutes and lower every limit; and the estimate summed all peers once for each late peer, which grows with the square of the region's hosts on each request.

Change: a host that was never heard counts for 30 s, as long as messages are sent to it; the share of the demand that peers may admit is summed once. Only relays look for bursts that call for an early digest, five times a second.

--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -92,6 +92,8 @@
         self.full_sent_at = float("-inf")
         self.near_sent_at = float("-inf")
         self.digest_sent_at = float("-inf")
+        self.urgency_checked_at = float("-inf")
+        self.is_relay = False
         self.live: set[models.HostId] = set()
         self.server_index = peer_messages.ServerIndex()
 
@@ -218,19 +220,17 @@
 
     def _send_digest(self, now: float) -> None:
         """Sends this region's digest to other regions if it is due."""
-        age_s = now - self.digest_sent_at
-        if age_s < URGENT_DIGEST_INTERVAL_S:
-            return
-        regions = len(set(self.fleet.zones.values()))
-        is_urgent = self.quotas.needs_region_report(regions, now)
-        if age_s < DIGEST_INTERVAL_S and not is_urgent:
+        is_due = now - self.digest_sent_at >= DIGEST_INTERVAL_S
+        if not is_due and not self._has_urgent_digest(now):
             return
         self.digest_sent_at = now
+        self.is_relay = False
         if not self.relays.is_needed(now):
             return
         own_index = self.relays.own_index(now)
         if own_index is None:
             return
+        self.is_relay = True
         summary = self.relays.summarize(
             self.mirrors[wire.OPERATOR_TABLE].report(),
             self.mirrors[wire.SERVER_TABLE].report(),
@@ -243,6 +243,17 @@
         for host in self.relays.partners(own_index, now):
             self._send(host.ip, datagram)
 
+    def _has_urgent_digest(self, now: float) -> bool:
+        """Returns whether a customer's burst calls for a digest at once."""
+        if not self.is_relay:
+            return False
+        last_at = max(self.digest_sent_at, self.urgency_checked_at)
+        if now - last_at < URGENT_DIGEST_INTERVAL_S:
+            return False
+        self.urgency_checked_at = now
+        regions = len(set(self.fleet.zones.values()))
+        return self.quotas.needs_region_report(regions, now)
+
     def _send_to(self, known: list[members.Member], datagram: bytes) -> None:
         for member in known:
             self._send(member.host.ip, datagram)
--- a/src/banyanshed/steering/members.py
+++ b/src/banyanshed/steering/members.py
@@ -282,7 +282,8 @@
         """Returns the hosts heard recently as a fraction of all hosts.
 
         A silent host may be running until it is heard to leave or to start
-        anew. Until all hosts are known, each availability zone is taken to
+        anew; one that was never heard, only for as long as messages are sent to
+        it. Until all hosts are known, each availability zone is taken to
         have one at least.
 
         Args:
@@ -296,7 +297,7 @@
         for member in self.peers.values():
             if self._is_heard(member, now) and not is_alone:
                 heard += 1
-            elif member.state is not HostState.LEAVING:
+            elif _may_run(member, now):
                 silent += 1
         known = heard + silent
         if not self.are_all_known:
@@ -390,6 +391,15 @@
         )
 
 
+def _may_run(member: Member, now: float) -> bool:
+    """Returns whether a silent peer may be running."""
+    if member.state is HostState.LEAVING:
+        return False
+    return member.heard_at is not None or _age_s(member, now) < (
+        CONTACT_TIMEOUT_S
+    )
+
+
 def _age_s(member: Member, now: float) -> float:
     """Returns the seconds since a peer was heard from, or was discovered."""
     since = member.heard_at
--- a/src/banyanshed/steering/quotas.py
+++ b/src/banyanshed/steering/quotas.py
@@ -244,11 +244,12 @@
         """Refills the bucket and charges the estimated requests of peers."""
         tokens = self.tokens + (now - self.refilled_at) * self.rate
         self.refilled_at = now
+        share = self._admitted_share(now)
         charge = 0.0
         for peer in self.peers.values():
-            charge += self._charge(peer, LATE_REPORT_S, now)
+            charge += _charge(peer, share, LATE_REPORT_S, now)
         for peer in self.regions.values():
-            charge += self._charge(peer, LATE_REGION_REPORT_S, now)
+            charge += _charge(peer, share, LATE_REGION_REPORT_S, now)
         if charge < 0.0:
             # What was never charged is not given back.
             refund = max(0.0, -charge - self.forgiven)
@@ -263,23 +264,6 @@
             self.forgiven = 0.0
         self.tokens = min(self.capacity, tokens)
 
-    def _charge(self, peer: _PeerUsage, late_s: float, now: float) -> float:
-        """Returns the tokens for a peer's estimated requests since the last.
-
-        Args:
-            peer: The peer.
-            late_s: Age from which its last report is late, in seconds.
-            now: Current time in seconds.
-        """
-        age_s = min(now - peer.reported_at, EXTRAPOLATE_S)
-        rate = peer.rate
-        if age_s > late_s:
-            rate = max(rate, self._expected_rate(peer.offered_rate, now))
-        expected = peer.admitted + rate * max(0.0, age_s)
-        charge = expected - peer.charged
-        peer.charged = expected
-        return charge
-
     def apply_report(
         self,
         host: models.HostId,
@@ -462,18 +446,18 @@
         return _PeerUsage(
             admitted_baseline=baseline,
             admitted=usage.admitted,
-            rate=self._expected_rate(usage.offered_rate, now),
+            rate=usage.offered_rate * self._admitted_share(now),
             offered_rate=usage.offered_rate,
             reported_at=now,
             charged=baseline,
         )
 
-    def _expected_rate(self, offered_rate: float, now: float) -> float:
-        """Returns the rate at which a peer admits requests by its demand."""
-        total = self.offered_rate(now) + offered_rate
+    def _admitted_share(self, now: float) -> float:
+        """Returns the share of the known demand that the rate allows."""
+        total = self.offered_rate(now)
         for peer in self._all_peers():
             total += peer.offered_rate
-        return offered_rate * min(1.0, self.rate / max(total, 1e-9))
+        return min(1.0, self.rate / max(total, 1e-9))
 
     def _share_rate(self, now: float) -> float:
         # The demand last reported, as for peers: if it grows on all hosts at
@@ -501,6 +485,25 @@
         return self.offered * decay * decay
 
 
+def _charge(peer: _PeerUsage, share: float, late_s: float, now: float) -> float:
+    """Returns the tokens for a peer's estimated requests since the last charge.
+
+    Args:
+        peer: The peer.
+        share: Share of its demand that the peer may admit.
+        late_s: Age from which its last report is late, in seconds.
+        now: Current time in seconds.
+    """
+    age_s = min(now - peer.reported_at, EXTRAPOLATE_S)
+    rate = peer.rate
+    if age_s > late_s:
+        rate = max(rate, peer.offered_rate * share)
+    expected = peer.admitted + rate * max(0.0, age_s)
+    charge = expected - peer.charged
+    peer.charged = expected
+    return charge
+
+
 def _has_restarted(known: _PeerUsage | None, usage: Usage) -> bool:
     """Returns whether a peer's counter has gone back, as after a restart."""
     return known is not None and usage.admitted < known.admitted
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -99,6 +99,7 @@
     def read_host_table(self, host):
         for other in self.hosts:
             host.members.discover(other.identity, self.now)
+        host.members.are_all_known = True
 
     def cut(self, numbers, group):
         """Cuts hosts off from all hosts of other groups."""
--- a/tests/test_silent_hosts.py
+++ b/tests/test_silent_hosts.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from banyanshed.steering import members
 from tests import quota_fleet
 
 # Number of hosts, rate, burst and seed.
@@ -140,3 +141,15 @@
     fleet.run(25.0, demand)
     served = sum(10.0 < at <= 25.0 for at in fleet.admitted)
     assert served >= 0.7 * fleet.customer.rate * 15.0
+
+
+def test_hosts_that_were_never_heard_lower_the_limit_for_a_time_only():
+    fleet = quota_fleet.Fleet(2, quota_fleet.make_customer(30.0, 30.0))
+    known = fleet.hosts[0].members
+    for number in range(10):
+        gone = members.Host(f"gone{number}", "10.0.9.9", "a1", 1)
+        known.discover(gone, 0.0)
+    fleet.run(2.0, usual(fleet))
+    assert known.heard_share(2.0) == pytest.approx(2 / 12)
+    fleet.run(members.CONTACT_TIMEOUT_S + 1.0, usual(fleet))
+    assert known.heard_share(fleet.now) == 1.0
