Report a cut that was found before the host was ready

Cause: only a ready host can be in the state of one that is cut off, so a check that ended while the host was starting left it ready for the directory and its peers until the next change. Requests were passed on all the same.

Evidence: found by reading; the test of a start within a cut failed with it.

--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -472,6 +472,7 @@
         starting = self.fleet.own_state is members.HostState.STARTING
         if starting and self.view.is_ready():
             self.fleet.own_state = members.HostState.READY
+            self.fleet.set_cut(self.reachability.is_cut)
             logs.log_event("ready")
             self.gossip.send_heartbeat()
 
