Close the connections of the tests' servers before the loop ends

Kept connections outlived the loop; what their writers raise then is formatted by pytest within the collector, which makes the parser of Python 3.11 fail in another test (SystemError: AST constructor recursion depth mismatch; seen once each in test_layout and in the report of test_backends).

--- a/standins/servers.py
+++ b/standins/servers.py
@@ -104,7 +104,7 @@
     async def start(self, stack: contextlib.AsyncExitStack, ip: str) -> None:
         """Listens until the exit stack closes."""
         await self._listen(ip, 0)
-        stack.callback(self._close)
+        stack.callback(self._end)
 
     def crash(self) -> None:
         """Ends the server's process: nothing listens at its address."""
@@ -121,6 +121,12 @@
         self.server = await asyncio.start_server(self._serve, ip, port)
         self.address = self.server.sockets[0].getsockname()[:2]
 
+    def _end(self) -> None:
+        """Closes all connections; the loop must not end before they do."""
+        self._close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def _close(self) -> None:
         if self.server is not None:
             self.server.close()
