Name what passes requests on to peers after the peers, not the relays

Relays are the hosts that speak for a region; the new code used the word for another thing. Names only: gateway/peer_forwarding.py, PeerForwarder, serve_for_peer.

--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -12,8 +12,8 @@
 from banyanshed.gateway import logs
 from banyanshed.gateway import messages
 from banyanshed.gateway import metrics
+from banyanshed.gateway import peer_forwarding
 from banyanshed.gateway import pools
-from banyanshed.gateway import relaying
 from banyanshed.platform import headers as header_names
 from banyanshed.steering import budgets
 from banyanshed.steering import health
@@ -140,8 +140,8 @@
 
 
 _RESULTS = {
-    Ending.ANSWERED: relaying.Result.ANSWERED,
-    Ending.REJECTED: relaying.Result.NOT_RUN,
+    Ending.ANSWERED: peer_forwarding.Result.ANSWERED,
+    Ending.REJECTED: peer_forwarding.Result.NOT_RUN,
 }
 
 
@@ -161,7 +161,7 @@
         limits: limits_lib.LimitTracker,
         crash_detector: crashes.CrashDetector,
         reachability: reachability_lib.Reachability,
-        peer_relay: relaying.PeerRelay,
+        peer_forwarder: peer_forwarding.PeerForwarder,
     ):
         """Initializes the forwarder.
 
@@ -174,7 +174,7 @@
             limits: Learns the limits that backend servers name.
             crash_detector: Examines requests that were lost.
             reachability: Whether the host reaches any server.
-            peer_relay: Passes requests on to peers if it does not.
+            peer_forwarder: Passes requests on to peers if it does not.
         """
         self.router = router
         self.placing = placing
@@ -185,36 +185,41 @@
         self.limits = limits
         self.crashes = crash_detector
         self.reachability = reachability
-        self.peer_relay = peer_relay
-        self.relayed_in_flight = 0
+        self.peer_forwarder = peer_forwarder
+        self.in_flight_for_peers = 0
         self.loop = asyncio.get_running_loop()
 
     async def serve(self, request: messages.Request) -> messages.Response:
         """Returns the response to a caller; errors become a 502 response."""
         return await self._run(Progress(request))
 
-    async def serve_relayed(
+    async def serve_for_peer(
         self, request: messages.Request
     ) -> messages.Response:
         """Returns the response to a peer that passed a caller's request on."""
-        attempts = relaying.read_attempts(request)
-        request = relaying.strip_attempts(request)
-        result = relaying.Result.UNAVAILABLE
+        attempts = peer_forwarding.read_attempts(request)
+        request = peer_forwarding.strip_attempts(request)
+        result = peer_forwarding.Result.UNAVAILABLE
         response = messages.Response(503)
         # A host that is cut off, too, does not pass it on once more.
         if attempts and not self.reachability.is_cut:
             progress = Progress(request, attempts_left_by_peer=attempts)
-            self.relayed_in_flight += 1
+            self.in_flight_for_peers += 1
             try:
                 response = await self._run(progress)
             finally:
-                self.relayed_in_flight -= 1
+                self.in_flight_for_peers -= 1
             assert progress.ending is not None
-            result = _RESULTS.get(progress.ending, relaying.Result.FAILED)
-            if progress.plan is None and result is relaying.Result.NOT_RUN:
+            result = _RESULTS.get(
+                progress.ending, peer_forwarding.Result.FAILED
+            )
+            if (
+                progress.plan is None
+                and result is peer_forwarding.Result.NOT_RUN
+            ):
                 # This host may know an older configuration.
-                result = relaying.Result.UNAVAILABLE
-        return relaying.to_relaying_host(request, result, response)
+                result = peer_forwarding.Result.UNAVAILABLE
+        return peer_forwarding.response_to_peer(request, result, response)
 
     async def _run(self, progress: Progress) -> messages.Response:
         try:
@@ -229,8 +234,8 @@
         return response
 
     async def _serve(self, progress: Progress) -> messages.Response:
-        is_relayed = progress.attempts_left_by_peer is not None
-        plan = self.router.plan(read_query(progress.request), is_relayed)
+        is_for_peer = progress.attempts_left_by_peer is not None
+        plan = self.router.plan(read_query(progress.request), is_for_peer)
         if isinstance(plan, routing.Refusal):
             progress.reason = plan.reason.value
             progress.inputs = plan.inputs
@@ -244,7 +249,7 @@
             progress.is_trial = await self.crashes.claim_trial(
                 progress.fingerprint
             )
-        if not is_relayed:
+        if not is_for_peer:
             self.retries.record_request(plan.service, self.loop.time())
         while True:
             await self._wait_for_judgement(progress, plan)
@@ -305,7 +310,7 @@
     ) -> messages.Response | None:
         """Passes a request on to peers; returns None if none could serve it."""
         while self._may_ask_peer(progress, plan):
-            peer = self.peer_relay.choose_peer(plan, progress.asked_peers)
+            peer = self.peer_forwarder.choose_peer(plan, progress.asked_peers)
             if peer is None:
                 return None
             if progress.sent_count and not self.retries.try_spend(
@@ -314,10 +319,10 @@
                 progress.reason = f"{progress.reason}, no retry budget"
                 return None
             progress.asked_peers.append(peer.host.id)
-            relayed = await self._ask_peer(progress, plan, peer)
-            if relayed is None:
+            answer = await self._ask_peer(progress, plan, peer)
+            if answer is None:
                 continue
-            return self._respond_from_peer(progress, plan, relayed)
+            return self._respond_from_peer(progress, plan, answer)
         return None
 
     def _may_ask_peer(self, progress: Progress, plan: routing.Plan) -> bool:
@@ -333,21 +338,21 @@
 
     async def _ask_peer(
         self, progress: Progress, plan: routing.Plan, peer: members.Member
-    ) -> relaying.RelayedResponse | None:
+    ) -> peer_forwarding.PeerResponse | None:
         """Asks one peer; returns None if another one may be asked."""
         started_at = self.loop.time()
         outcome = health.Outcome.ABANDONED.value
         try:
-            relayed = await self.peer_relay.send(
+            answer = await self.peer_forwarder.send(
                 progress.request,
                 plan,
                 peer,
                 progress.attempts_left(plan.route),
             )
-            outcome = relayed.result.value
-            if relayed.result is relaying.Result.UNAVAILABLE:
+            outcome = answer.result.value
+            if answer.result is peer_forwarding.Result.UNAVAILABLE:
                 return None
-            return relayed
+            return answer
         except clients.ConnectFailed:
             outcome = health.Outcome.UNREACHABLE.value
             return None
@@ -367,14 +372,14 @@
         self,
         progress: Progress,
         plan: routing.Plan,
-        relayed: relaying.RelayedResponse,
+        answer: peer_forwarding.PeerResponse,
     ) -> messages.Response:
         """Returns the response to a caller whose request a peer served."""
-        response = relayed.response
-        if relayed.result is relaying.Result.ANSWERED:
+        response = answer.response
+        if answer.result is peer_forwarding.Result.ANSWERED:
             self._record_end(progress, Ending.ANSWERED, response.status)
             return response
-        if relayed.result is relaying.Result.NOT_RUN:
+        if answer.result is peer_forwarding.Result.NOT_RUN:
             progress.reason = "rejected by a peer"
             progress.retry_after_s = _read_retry_after_s(response)
             return self._respond_to_failure(progress, plan)
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -31,8 +31,8 @@
 from banyanshed.gateway import messages
 from banyanshed.gateway import metrics
 from banyanshed.gateway import mirrors
+from banyanshed.gateway import peer_forwarding
 from banyanshed.gateway import pools
-from banyanshed.gateway import relaying
 from banyanshed.gateway import sources
 from banyanshed.gateway import table_sync
 from banyanshed.platform import settings as settings_lib
@@ -84,7 +84,7 @@
 MEMORY_SHARE_FOR_BODIES = 0.25
 MEMORY_SHARE_FOR_RESPONSES = 0.15
 # Size of the headers that peers add to callers' requests, in bytes.
-RELAY_HEADER_BYTES = 1024
+PEER_HEADER_BYTES = 1024
 # Interval at which the host retries to announce itself in the host table while
 # the store does not answer.
 ANNOUNCE_RETRY_S = 1.0
@@ -132,7 +132,7 @@
         reachability: Whether the host reaches any server.
         cut_detector: Checks that while it is in doubt.
         peer_pools: Connections to peers for requests that are passed on.
-        peer_relay: Passes requests on to peers.
+        peer_forwarder: Passes requests on to peers.
         retries: Budget of retries.
         limit_tracker: Learns the limits that backend servers name.
         crash_detector: Refuses requests that crash backend servers.
@@ -212,7 +212,7 @@
             self.connection_pools,
         )
         self.peer_pools = pools.ConnectionPools(self.response_memory)
-        self.peer_relay = relaying.PeerRelay(
+        self.peer_forwarder = peer_forwarding.PeerForwarder(
             self.fleet, self.peer_pools, settings.peer_port, random.random
         )
         self.retries = budgets.RetryBudget(settings.retries)
@@ -230,7 +230,7 @@
             self.limit_tracker,
             self.crash_detector,
             self.reachability,
-            self.peer_relay,
+            self.peer_forwarder,
         )
         self.crash_detector.reaches_servers = self.cut_detector.reaches_servers
         self.listener = listeners.Listener(
@@ -511,15 +511,15 @@
         # Peers pass callers' requests on, with some more headers.
         self.peer_listener.limits = dataclasses.replace(
             configuration.limits,
-            header_bytes=configuration.limits.header_bytes + RELAY_HEADER_BYTES,
+            header_bytes=configuration.limits.header_bytes + PEER_HEADER_BYTES,
         )
 
     async def _serve_peers(
         self, request: messages.Request
     ) -> messages.Response:
         """Serves a peer a table, or a request that it passes on."""
-        if request.find(relaying.ATTEMPTS_HEADER) is not None:
-            return await self.forwarder.serve_relayed(request)
+        if request.find(peer_forwarding.ATTEMPTS_HEADER) is not None:
+            return await self.forwarder.serve_for_peer(request)
         return await self.table_sync.serve(request)
 
     async def _serve_directory(
@@ -603,7 +603,7 @@
         for connection in list(self.listener.connections):
             if connection.is_idle:
                 connection.close()
-        while self.listener.connections or self.forwarder.relayed_in_flight:
+        while self.listener.connections or self.forwarder.in_flight_for_peers:
             if self.loop.time() - stop_started_at > stop_s * FINISH_SHARE:
                 break
             await asyncio.sleep(0.02)
--- a/src/banyanshed/gateway/peer_forwarding.py
+++ b/src/banyanshed/gateway/peer_forwarding.py
@@ -43,7 +43,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RelayedResponse:
+class PeerResponse:
     """A peer's response to a request that was passed on.
 
     Attributes:
@@ -55,7 +55,7 @@
     response: messages.Response
 
 
-class PeerRelay:
+class PeerForwarder:
     """Passes requests on to peers that reach the servers."""
 
     def __init__(
@@ -65,7 +65,7 @@
         port: int,
         random: Callable[[], float],
     ):
-        """Initializes the relay.
+        """Initializes the forwarder.
 
         Args:
             fleet: The peers.
@@ -95,7 +95,7 @@
         plan: routing.Plan,
         peer: members.Member,
         attempts: int,
-    ) -> RelayedResponse:
+    ) -> PeerResponse:
         """Sends a request through a peer.
 
         Args:
@@ -116,7 +116,7 @@
         remaining_s = plan.expires_at - self.loop.time()
         async with asyncio.timeout_at(plan.expires_at):
             response = await connection.send(
-                _to_peer(request, remaining_s, attempts),
+                _request_to_peer(request, remaining_s, attempts),
                 header_names.REQUEST_ID,
             )
         self.connection_pools.release(entry.id, connection)
@@ -141,7 +141,7 @@
     )
 
 
-def to_relaying_host(
+def response_to_peer(
     request: messages.Request, result: Result, response: messages.Response
 ) -> messages.Response:
     """Returns the response that tells a peer what became of its request."""
@@ -153,7 +153,7 @@
     return messages.Response(response.status, headers, response.body)
 
 
-def _to_peer(
+def _request_to_peer(
     request: messages.Request, remaining_s: float, attempts: int
 ) -> messages.Request:
     headers = _without(
@@ -168,7 +168,7 @@
     )
 
 
-def _read_response(response: messages.Response) -> RelayedResponse:
+def _read_response(response: messages.Response) -> PeerResponse:
     """Decodes a peer's response; one without a result did not try."""
     value = response.find(RESULT_HEADER)
     result = Result.UNAVAILABLE
@@ -178,7 +178,7 @@
     headers = _without(
         messages.strip_hop_by_hop(response.headers), {RESULT_HEADER}
     )
-    return RelayedResponse(
+    return PeerResponse(
         result, messages.Response(response.status, headers, response.body)
     )
 
