Choose a table's waits, and check a server, in one place each

The feeds' sources chose the waits of a table as the applier does; both checks of whether a server accepts connections opened and released one; a host's row was written and read by different names of its fields; the budget of retries was spent at two places. Each now has one piece of code. Behaviour is as before.

--- a/src/banyanshed/gateway/crashes.py
+++ b/src/banyanshed/gateway/crashes.py
@@ -205,16 +205,11 @@
 
     async def _connect(self, server: models.Registration) -> Finding:
         try:
-            connection = await self.connection_pools.connect(
-                server.address,
-                CHECK_TIMEOUT_S,
-                self.connection_pools.response_memory,
-            )
+            await self.connection_pools.check(server, CHECK_TIMEOUT_S)
         except clients.ConnectTimedOut:
             return Finding.UNKNOWN
         except clients.ConnectFailed:
             return Finding.ENDED
-        self.connection_pools.release(server.id, connection)
         return Finding.RUNNING
 
     def _apply(self, judgements: Iterable[suspects_lib.Judgement]) -> None:
--- a/src/banyanshed/gateway/cuts.py
+++ b/src/banyanshed/gateway/cuts.py
@@ -100,14 +100,10 @@
             self.connection_pools.drop_all()
 
     async def _connect(self, server: views.Server) -> bool:
-        entry = server.registration
         try:
-            connection = await self.connection_pools.connect(
-                entry.address,
-                CHECK_TIMEOUT_S,
-                self.connection_pools.response_memory,
+            await self.connection_pools.check(
+                server.registration, CHECK_TIMEOUT_S
             )
         except clients.ConnectFailed:
             return False
-        self.connection_pools.release(entry.id, connection)
         return True
--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -313,10 +313,7 @@
             peer = self.peer_forwarder.choose_peer(plan, progress.asked_peers)
             if peer is None:
                 return None
-            if progress.sent_count and not self.retries.try_spend(
-                plan.service, self.loop.time()
-            ):
-                progress.reason = f"{progress.reason}, no retry budget"
+            if not self._try_spend_retry(progress, plan):
                 return None
             progress.asked_peers.append(peer.host.id)
             answer = await self._ask_peer(progress, plan, peer)
@@ -421,14 +418,20 @@
             progress.retry_after_s = choice.retry_after_s
             progress.inputs = choice.inputs
             return None
-        if progress.sent_count and not self.retries.try_spend(
-            plan.service, now
-        ):
-            progress.reason = f"{progress.reason}, no retry budget"
+        if not self._try_spend_retry(progress, plan):
             return None
         progress.skipped.update(choice.skipped)
         return choice
 
+    def _try_spend_retry(self, progress: Progress, plan: routing.Plan) -> bool:
+        """Takes an attempt after the first from the budget of retries."""
+        if not progress.sent_count:
+            return True
+        if self.retries.try_spend(plan.service, self.loop.time()):
+            return True
+        progress.reason = f"{progress.reason}, no retry budget"
+        return False
+
     def _log_ejections(self) -> None:
         for change in self.health.outliers.take_changes():
             if change.ejected:
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -279,7 +279,7 @@
             settings.peer_port,
         )
         self.sources = sources.Sources(
-            self.store, self.relays, self.waits, settings.peer_port
+            self.store, self.relays, self.applier, settings.peer_port
         )
         self.stopping = asyncio.Event()
         self.reload_requested = asyncio.Event()
@@ -379,10 +379,8 @@
 
     async def _write_own_row(self) -> None:
         own = self.fleet.own
-        row = msgspec.json.encode(
-            {"ip": own.ip, "zone": own.zone, "started_ms": own.started_ms}
-        )
-        await self.store.write(HOST_TABLE, own.id, row)
+        row = HostRow(own.ip, own.zone, own.started_ms)
+        await self.store.write(HOST_TABLE, own.id, msgspec.json.encode(row))
 
     async def _learn_hosts(self) -> None:
         page = await self.store.read_table(HOST_TABLE)
--- a/src/banyanshed/gateway/pools.py
+++ b/src/banyanshed/gateway/pools.py
@@ -69,6 +69,21 @@
         self.on_connected()
         return connection
 
+    async def check(
+        self, server: models.Registration, timeout_s: float
+    ) -> None:
+        """Connects to a server to find out whether it accepts connections.
+
+        The connection is kept for a request.
+
+        Raises:
+            ConnectFailed: The connection could not be established.
+        """
+        connection = await self.connect(
+            server.address, timeout_s, self.response_memory
+        )
+        self.release(server.id, connection)
+
     def release(
         self, server: models.ServerId, connection: clients.Connection
     ) -> None:
--- a/src/banyanshed/gateway/sources.py
+++ b/src/banyanshed/gateway/sources.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from banyanshed import exceptions
+from banyanshed.gateway import appliers
 from banyanshed.gateway import clients
 from banyanshed.gateway import logs
 from banyanshed.gateway import mirrors
@@ -23,7 +24,6 @@
 from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import relays as relays_lib
-from banyanshed.steering import waits as waits_lib
 
 # Duration of a long poll of a relay, and the additional time that its response
 # may take.
@@ -134,7 +134,7 @@
         self,
         store: store_lib.StoreClient,
         relays: relays_lib.Relays,
-        waits: waits_lib.Waits,
+        applier: appliers.Applier,
         port: int,
     ):
         """Initializes the choice of sources.
@@ -142,11 +142,11 @@
         Args:
             store: Client of the platform's store.
             relays: The relays of large fleets.
-            waits: How long calls may wait for changes.
+            applier: Knows how long calls may wait for changes.
             port: Port of the traffic between hosts, the same on every host.
         """
-        self.store = Source("store", store, waits.poll_s, True)
-        self.waits = waits
+        self.store = Source("store", store, applier.waits.poll_s, True)
+        self.applier = applier
         self.relays = relays
         self.port = port
         self.peers: dict[str, PeerTables] = {}
@@ -177,12 +177,8 @@
         near = self.relays.own_region_relays(now)
         own = self.relays.fleet.own.id
         if own in {host.id for host in near}:
-            table_waits = self.waits.server_table
-            if table == wire.OPERATOR_TABLE:
-                table_waits = self.waits.operator_table
-            return dataclasses.replace(
-                self.store, wait_s=table_waits.relay_poll_s
-            )
+            wait_s = self.applier.waits_of(table).relay_poll_s
+            return dataclasses.replace(self.store, wait_s=wait_s)
         if failures >= len(near):
             return self.store
         first = xxhash.xxh32_intdigest(own.encode())
