--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -10,6 +10,7 @@
 from banyanshed.steering import quotas as quotas_lib
 from banyanshed.steering import relays
 from tests import steering_cases as cases
+from tests import test_quotas
 
 REGIONS = ("a", "b", "c")
 ZONES = {f"{region}{number}": region for region in REGIONS for number in "12"}
@@ -17,29 +18,10 @@
 HEARTBEAT_S = 1.0
 DIGEST_S = 1.0
 URGENT_DIGEST_S = 0.2
-WINDOW_S = 5.0
-EXCESS = 0.1
-SLACK = 20
 # How long callers wait for a host that doesn't read.
 PATIENCE_S = 1.0
 
 
-def max_admitted(customer):
-    steady = customer.rate * WINDOW_S + customer.burst
-    return steady * (1 + EXCESS) + SLACK
-
-
-def max_in_window(times):
-    worst = 0
-    first = 0
-    times = sorted(times)
-    for last, at in enumerate(times):
-        while times[first] < at - WINDOW_S:
-            first += 1
-        worst = max(worst, last - first + 1)
-    return worst
-
-
 class Host:
     def __init__(self, number, fleet, started_ms):
         zone = list(ZONES)[number % len(ZONES)]
@@ -91,7 +73,9 @@
             self.read_host_table(host)
 
     def make_quotas(self, host):
-        tolerance = models.QuotaTolerance(WINDOW_S, EXCESS, SLACK)
+        tolerance = models.QuotaTolerance(
+            test_quotas.WINDOW_S, test_quotas.EXCESS, test_quotas.SLACK
+        )
         return quotas_lib.Quotas(
             host.members, tolerance, self.rng.random, self.now
         )
--- a/tests/test_cut_hosts.py
+++ b/tests/test_cut_hosts.py
@@ -73,6 +73,25 @@
     raise AssertionError("the host serves nothing")
 
 
+def run_cut_host(scenario, **fields):
+    """Runs a scenario in which one of the hosts serves through its peers."""
+
+    async def run(fleet):
+        await wait_until_known(fleet)
+        cut_off(fleet, "h1", Cut.REFUSED)
+        await call_until_served(fleet)
+        await scenario(fleet)
+
+    gateway_fleet.run_scenario(
+        run, hosts=3, servers=("i1", "i2", "i3"), **fields
+    )
+
+
+def set_action(fleet, action):
+    for server in fleet.servers.values():
+        server.action = action
+
+
 def runs_of(fleet, request_id):
     return sum(
         exchange.headers["x-banyanshed-request-id"] == request_id
@@ -147,29 +166,20 @@
 
 def test_an_unsafe_request_that_a_peer_lost_is_not_sent_again():
     async def scenario(fleet):
-        await wait_until_known(fleet)
-        cut_off(fleet, "h1", Cut.REFUSED)
-        await call_until_served(fleet)
-
         async def reset(exchange):
             exchange.reset()
 
-        for server in fleet.servers.values():
-            server.action = reset
+        set_action(fleet, reset)
         response = await fleet.call("/u/x", method="POST", body=b"x")
         assert response.status == 502
         assert runs_of(fleet, f"id{fleet.request_number}") == 1
 
-    gateway_fleet.run_scenario(scenario, hosts=3, servers=("i1", "i2", "i3"))
+    run_cut_host(scenario)
 
 
 def test_an_unsafe_request_to_a_peer_that_goes_silent_is_not_sent_again():
     async def scenario(fleet):
-        await wait_until_known(fleet)
-        cut_off(fleet, "h1", Cut.REFUSED)
-        await call_until_served(fleet)
-        for server in fleet.servers.values():
-            server.action = gateway_fleet.answer_after(30.0)
+        set_action(fleet, gateway_fleet.answer_after(30.0))
         call = asyncio.ensure_future(
             fleet.call(
                 "/u/x",
@@ -181,34 +191,25 @@
         assert (await call).status in (502, 504)
         assert runs_of(fleet, f"id{fleet.request_number}") == 1
 
-    gateway_fleet.run_scenario(scenario, hosts=3, servers=("i1", "i2", "i3"))
+    run_cut_host(scenario)
 
 
 def test_a_refusal_of_a_peers_servers_says_that_the_request_has_not_run():
     async def scenario(fleet):
-        await wait_until_known(fleet)
-        cut_off(fleet, "h1", Cut.REFUSED)
-        await call_until_served(fleet)
-
         async def reject(exchange):
             exchange.respond(503, b"", X_Banyanshed_Not_Executed="1")
 
-        for server in fleet.servers.values():
-            server.action = reject
+        set_action(fleet, reject)
         response = await fleet.call("/u/x", method="POST", body=b"x")
         assert response.status == 503
         assert response.find(b"retry-after") is not None
 
-    gateway_fleet.run_scenario(scenario, hosts=3, servers=("i1", "i2", "i3"))
+    run_cut_host(scenario)
 
 
 def test_a_client_that_leaves_ends_its_request_at_the_server():
     async def scenario(fleet):
-        await wait_until_known(fleet)
-        cut_off(fleet, "h1", Cut.REFUSED)
-        await call_until_served(fleet)
-        for server in fleet.servers.values():
-            server.action = gateway_fleet.answer_after(30.0)
+        set_action(fleet, gateway_fleet.answer_after(30.0))
         call = asyncio.ensure_future(
             fleet.call("/u/x", method="POST", body=b"x")
         )
@@ -219,14 +220,11 @@
             lambda: any(s.cancelled for s in fleet.servers.values())
         )
 
-    gateway_fleet.run_scenario(scenario, hosts=3, servers=("i1", "i2", "i3"))
+    run_cut_host(scenario)
 
 
 def test_quota_and_requests_are_counted_at_the_first_host_only():
     async def scenario(fleet):
-        await wait_until_known(fleet)
-        cut_off(fleet, "h1", Cut.REFUSED)
-        await call_until_served(fleet)
         counted = []
         before = {}
         for name, host in fleet.hosts.items():
@@ -253,11 +251,8 @@
             "burst": 1000,
         }
     ]
-    gateway_fleet.run_scenario(
-        scenario,
-        hosts=3,
-        servers=("i1", "i2", "i3"),
-        config=gateway_fleet.configuration(customers=customers),
+    run_cut_host(
+        scenario, config=gateway_fleet.configuration(customers=customers)
     )
 
 
--- a/tests/test_silent_hosts.py
+++ b/tests/test_silent_hosts.py
@@ -4,6 +4,7 @@
 
 from banyanshed.steering import members
 from tests import quota_fleet
+from tests import test_quotas
 
 # Number of hosts, rate, burst and seed.
 CASES = [
@@ -37,8 +38,9 @@
 
 
 def assert_limit_holds(fleet):
-    allowed = quota_fleet.max_admitted(fleet.customer)
-    assert quota_fleet.max_in_window(fleet.admitted) <= allowed
+    customer = fleet.customer
+    allowed = test_quotas.max_admitted(customer.rate, customer.burst)
+    assert test_quotas.max_in_window(fleet.admitted) <= allowed
 
 
 def refused_share(fleet, since, until):
