--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -478,6 +478,7 @@
     def __init__(self, folder, name, ip, zone, zones, ports, seeds, store):
         """Writes the settings file; nothing is started yet."""
         self.name = name
+        self.zone = zone
         self.ip = ip
         self.ports = ports
         self.path = folder / f"{name}.yaml"
