--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,9 +15,9 @@
 
 ZONES = {"a1": "a", "b1": "b"}
 COLD_S = 3.0
-COLD_PER_S = 4.0
+COLD_PER_S = 2.6
 ALLOWED = COLD_PER_S * 1.5 + 5.0
-REQUESTS_PER_S = 120.0
+REQUESTS_PER_S = 160.0
 OUTAGE_S = 4.5
 CRASHED_S = 1.5
 
@@ -28,7 +28,7 @@
     service = {"name": "board", "cold": "3s", "coldPerS": COLD_PER_S}
     routes = [platform.route("board", "safe", "board")]
     await site.start_store(platform.configuration(routes, [service]))
-    for number in range(4):
+    for number in range(8):
         zone = "a1" if number % 2 else "b1"
         await site.add_server(
             f"i-{number}",
