Log every failed call of a feed, and put small metrics first

Cause: of the calls that fail one after the other only the first left a line (store_lost), so that an outage whose end a host notices late couldn't be told from a call that was swallowed long ago. Change: feed_failed for each failed call with its duration and the number of failures in a row; at most one a call, and calls are spaced by the backoff. The histogram of requests comes last on the metrics page.

--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -215,14 +215,16 @@
         self.failed_at = self.applier.clock()
         self._count_call(self.source, error.code)
         self.mirror.set_follows_store(False)
+        logs.log_event(
+            "feed_failed",
+            table=self.mirror.table,
+            source=self.source.name,
+            error=str(error),
+            failures=self.failures,
+            waited_s=round(self.failed_at - self.sent_at, 3),
+        )
         if not self.source.is_store:
             # The next call may go to another source.
-            logs.log_event(
-                "feed_failed",
-                table=self.mirror.table,
-                source=self.source.name,
-                error=str(error),
-            )
             return
         self.applier.outage.record_failure(self.sent_at)
         if not self.is_connected:
--- a/src/banyanshed/gateway/metrics.py
+++ b/src/banyanshed/gateway/metrics.py
@@ -20,13 +20,6 @@
             ("service", "ending", "status"),
             registry=self.registry,
         )
-        self.seconds = prometheus_client.Histogram(
-            "banyanshed_request_seconds",
-            "Time from a request's head to its final answer.",
-            ("service",),
-            buckets=LATENCY_BUCKETS_S,
-            registry=self.registry,
-        )
         self.attempts = prometheus_client.Counter(
             "banyanshed_attempts",
             "Attempts at backend servers by their outcome.",
@@ -72,6 +65,15 @@
             registry=self.registry,
         )
 
+        # The longest part of the page comes last: collectors may cut it.
+        self.seconds = prometheus_client.Histogram(
+            "banyanshed_request_seconds",
+            "Time from a request's head to its final answer.",
+            ("service",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+
     def count_request(
         self,
         service: models.ServiceName | str,
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from banyanshed import exceptions
 from banyanshed.gateway import appliers
 from banyanshed.gateway import feeds
 from banyanshed.gateway import metrics
@@ -97,6 +98,30 @@
     assert 'banyanshed_servers_gone_total{cause="not_back"} 1.0' in page
 
 
+def test_each_failed_call_of_the_store_is_logged_with_its_duration(lines):
+    case = Case()
+    feed = make_feed(case, wire.SERVER_TABLE)
+    for _ in range(3):
+        feed.sent_at = case.now
+        case.now += 1.2
+        feed._record_failure(exceptions.StoreTimeout("timeout"))
+    failed = [
+        (line["failures"], line["waited_s"])
+        for line in lines()
+        if line["message_type"] == "feed_failed"
+    ]
+    assert failed == [(1, 1.2), (2, 1.2), (3, 1.2)]
+
+
+def test_the_metrics_page_has_its_counters_before_the_histograms():
+    counters = metrics.Metrics()
+    counters.count_request("s", "answered", 200, 0.1)
+    counters.count_store_call("op", "store_timeout")
+    page = counters.encode().decode()
+    first_bucket = page.index("_bucket{")
+    assert page.index("banyanshed_store_calls_total{") < first_bucket
+
+
 def make_feed(case, table):
     store = types.SimpleNamespace(is_store=True, name="store")
     sources = types.SimpleNamespace(store=store)
