Ask the store itself when a table was not verified in time

Callers saw withdrawn keys accepted and moved routes served by the old service for up to 3.7 s after the acknowledgement (2.5 s are allowed) while both relays of a region were cut off, frozen or dark.

Cause: a follower took the silence of its relay for "nothing has changed" and left it only when its long poll timed out, first one relay and then the other. Class: silence of a source taken for its consent.

Change: a host knows for each table when its copy last matched the store. Heartbeats, digests and tables of peers tell the age of the store's last answer to their sender; a peer without newer rows thereby verifies the copy. Hosts report only what the store answered themselves, as ages that are passed on would shrink by each transit. A host whose copy was not verified for 0.7 of the bound drops the call that waits at a relay and asks the store. A process that stood still, by a clock that counts suspension, trusts neither its own ages nor reports that waited meanwhile. Hosts of earlier releases tell no ages: their followers then call the store each 0.7 of the bound.

A heartbeat grows by up to 6 bytes.

--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -7,7 +7,9 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 import random
+from typing import Any
 
 from banyanshed import exceptions
 from banyanshed.gateway import appliers
@@ -16,6 +18,8 @@
 from banyanshed.gateway import mirrors
 from banyanshed.gateway import sources as sources_lib
 from banyanshed.platform import store as store_lib
+from banyanshed.platform import wire
+from banyanshed.steering import models
 from banyanshed.steering import waits as waits_lib
 
 RETRY_MIN_S = 0.2
@@ -92,8 +96,9 @@
             read.
         """
         mirror = self.mirror
+        now = self.applier.clock()
         source = self.sources.choose(
-            mirror.table, self.failures, self.applier.clock()
+            mirror.table, self.failures, now >= self._outdated_at(), now
         )
         self.source = source
         if not source.is_store:
@@ -101,7 +106,7 @@
         self.sent_at = self.applier.clock()
         was_known = not self.needs_full_read
         if self.needs_full_read:
-            page = await source.tables.read_table(mirror.table)
+            page = await self._read(source.tables.read_table(mirror.table))
             self._check_era(page.era)
             self._record_success("read")
             self.needs_full_read = False
@@ -122,7 +127,9 @@
             # the store answers again.
             wait_s = self._wait_s(source) if self.is_connected else 0.0
             asked = mirror.table_version()
-            page = await source.tables.read_changes(mirror.table, asked, wait_s)
+            page = await self._read(
+                source.tables.read_changes(mirror.table, asked, wait_s)
+            )
             self._check_era(page.era)
             if page.era != asked.era:
                 raise store_lib.HistoryLost("restored", page.era)
@@ -130,12 +137,50 @@
             self.retry_s = RETRY_MIN_S
             self.lost_again = False
             changed = self.applier.merge(mirror, page)
+        self._verify(page)
         self._record_era(page.era)
         if changed or not self.applier.view.servers_known:
             max_age_s = self._waits().batch_delay_s
             self.applier.apply(mirror, changed, source.name, max_age_s)
         return was_known and bool(changed)
 
+    async def _read(self, call: Coroutine[Any, Any, wire.Page]) -> wire.Page:
+        """Makes a call of the source.
+
+        A relay that falls silent is left as soon as the copy may be outdated;
+        meanwhile other hosts may report that it still matches the store.
+
+        Raises:
+            HistoryLost: The source does not know all changes.
+            PlatformError: The call failed.
+            StoreTimeout: The copy may be outdated, and the relay is silent.
+        """
+        if self.source.is_store:
+            return await call
+        task = asyncio.ensure_future(call)
+        try:
+            while not task.done():
+                remaining_s = self._outdated_at() - self.applier.clock()
+                if remaining_s <= 0.0:
+                    raise exceptions.StoreTimeout("the copy may be outdated")
+                await asyncio.wait({task}, timeout=remaining_s)
+            return task.result()
+        finally:
+            task.cancel()
+
+    def _outdated_at(self) -> float:
+        """Returns when this host may no longer rely on a relay."""
+        return self.mirror.verified_at + self._waits().max_unverified_s
+
+    def _verify(self, page: wire.Page) -> None:
+        """Records when the rows of a peer's page matched the store."""
+        if not isinstance(page, mirrors.PeerPage):
+            return
+        self.mirror.verify(
+            models.TableVersion(page.era, page.version),
+            self.applier.clock() - page.answer_age_s,
+        )
+
     def _wait_s(self, source: sources_lib.Source) -> float:
         """Returns how long the next call may wait for changes."""
         if not source.is_store:
@@ -191,8 +236,7 @@
         now = self.applier.clock()
         self.applier.outage.end(now)
         if self.source.is_store:
-            self.mirror.answered_at = now
-            self.mirror.set_follows_store(True)
+            self.mirror.record_answer(now)
         if self.is_connected:
             return
         self.is_connected = True
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -9,7 +9,9 @@
 import asyncio
 from collections.abc import Mapping, Sequence
 import contextlib
+import math
 import random
+import time
 from typing import cast
 
 import msgspec
@@ -41,6 +43,11 @@
 # Minimum interval of digests that report a customer's burst early.
 URGENT_DIGEST_INTERVAL_S = 0.2
 TICK_INTERVAL_S = 0.05
+# A longer time between two ticks means that the process stood still. What it
+# knew is outdated then, and reports that waited meanwhile tell too low an age;
+# they have been read after the second time.
+STALL_S = 0.5
+BACKLOG_S = 0.5
 CONTACTS_PER_DATAGRAM = 20
 
 
@@ -89,6 +96,8 @@
         self.seeds = seeds
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.DatagramTransport | None = None
+        self.ticked_at = math.inf
+        self.trusts_reports_at = -math.inf
         self.full_sent_at = float("-inf")
         self.near_sent_at = float("-inf")
         self.digest_sent_at = float("-inf")
@@ -129,11 +138,29 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S * random.uniform(0.8, 1.2))
             now = self.loop.time()
+            self.check_for_stall(time.clock_gettime(time.CLOCK_BOOTTIME), now)
             self.placing.throttle.record_run(now)
             self._update_live(now)
             self._send_due(now)
             self._send_digest(now)
 
+    def check_for_stall(self, boot_time: float, now: float) -> None:
+        """Forgets what verified the tables if the process stood still.
+
+        Args:
+            boot_time: Seconds since the machine's start, including the time for
+                which it was suspended, unlike those of the loop's clock.
+            now: Current time in seconds.
+        """
+        stalled_s = boot_time - self.ticked_at
+        self.ticked_at = boot_time
+        if stalled_s < STALL_S:
+            return
+        self.trusts_reports_at = now + BACKLOG_S
+        for mirror in self.mirrors.values():
+            mirror.forget_answers()
+        logs.log_event("stalled", stalled_s=round(stalled_s, 3))
+
     def send_heartbeat(self) -> None:
         """Sends a heartbeat with customers' usage to the peers at once."""
         now = self.loop.time()
@@ -232,8 +259,8 @@
             return
         self.is_relay = True
         summary = self.relays.summarize(
-            self.mirrors[wire.OPERATOR_TABLE].report(),
-            self.mirrors[wire.SERVER_TABLE].report(),
+            self.mirrors[wire.OPERATOR_TABLE].report(now),
+            self.mirrors[wire.SERVER_TABLE].report(now),
             self.suspects.report(now),
             now,
         )
@@ -270,10 +297,11 @@
         demand: list[peer_messages.EncodedDemand] | None = None,
         suspects: Sequence[suspects_lib.SuspectReport] = (),
     ) -> peer_messages.Heartbeat:
-        operators = self.mirrors[wire.OPERATOR_TABLE].report()
-        servers = self.mirrors[wire.SERVER_TABLE].report()
+        now = self.loop.time()
+        operators = self.mirrors[wire.OPERATOR_TABLE].report(now)
+        servers = self.mirrors[wire.SERVER_TABLE].report(now)
         in_flight = self.placing.health.in_flight_by_server()
-        evidence = self.outliers.report(self.loop.time())
+        evidence = self.outliers.report(now)
         if self.placing.health.ignores_results:
             # A host that may be cut off says nothing about servers.
             in_flight, evidence = {}, {}
@@ -288,7 +316,7 @@
             peer_messages.encode_evidence(evidence),
             peer_messages.encode_limits(limits, self.applier.view.servers),
             demand,
-            peer_messages.encode_eras(operators, servers),
+            peer_messages.encode_reports(operators, servers),
             peer_messages.encode_suspects(suspects),
             self.fleet.own_state is members.HostState.CUT,
         )
@@ -304,7 +332,9 @@
         member = self.fleet.record_state(host, state, now)
         if member is None:
             return
-        member.update_tables(*peer_messages.decode_tables(heartbeat))
+        reports = peer_messages.decode_tables(heartbeat)
+        member.update_tables(*reports)
+        self._verify_tables(*reports, now)
         if is_new or never_heard:
             self.quotas.drop_peer(host.id)
             self._reply_to_new_host(host, now)
@@ -333,6 +363,7 @@
         self, digest: peer_messages.Digest, data: bytes, sender: str, now: float
     ) -> None:
         summary = self.server_index.decode_digest(digest)
+        self._verify_tables(summary.operators, summary.servers, now)
         self.relays.apply_summary(summary, self.applier.view.configuration, now)
         self.limit_tracker.apply_reports(summary.limits, summary.relay.id, now)
         self._apply_suspects(digest.suspects)
@@ -342,6 +373,20 @@
         # forwards it within its own region.
         self._send_to(self._near(self.fleet.contacts(now)), data)
 
+    def _verify_tables(
+        self,
+        operators: members.TableReport,
+        servers: members.TableReport,
+        now: float,
+    ) -> None:
+        """Records that a peer's tables matched the store some time ago."""
+        if now < self.trusts_reports_at:
+            return
+        reports = {wire.OPERATOR_TABLE: operators, wire.SERVER_TABLE: servers}
+        for table, report in reports.items():
+            answered_at = now - report.answer_age_s
+            self.mirrors[table].verify(report.version, answered_at)
+
     def _reply_to_new_host(self, host: members.Host, now: float) -> None:
         """Sends a new host a heartbeat and, from a seed, the known hosts."""
         limits = self.limits.report_all(now)
--- a/src/banyanshed/gateway/mirrors.py
+++ b/src/banyanshed/gateway/mirrors.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 
 from banyanshed.platform import wire
 from banyanshed.steering import members
@@ -21,9 +22,12 @@
 
     Attributes:
         confirmed: What the peer keeps from before a restore of the store.
+        answer_age_s: Seconds since the store last answered the peer's call for
+            the table; infinite if that is not known.
     """
 
     confirmed: tuple[tuple[str, restores.Confirmed], ...] = ()
+    answer_age_s: float = math.inf
 
 
 class Mirror:
@@ -41,6 +45,10 @@
         follows_store: Whether the store answers this host's calls for the
             table.
         answered_at: When it last answered one, in seconds of the loop's time.
+            Peers are told of this alone, as reports that are passed on would
+            grow younger with each delay on their way.
+        verified_at: When the rows were last known to match the store, by its
+            answer to this host or to a peer with no newer rows.
         deleted: Deletions by key, oldest first.
         deleted_since: Version after which all deletions are known.
         changed: Event that is set at the next change of the rows or of
@@ -57,7 +65,8 @@
         self.changed_version = 0
         self.is_known = False
         self.follows_store = False
-        self.answered_at = float("-inf")
+        self.answered_at = -math.inf
+        self.verified_at = -math.inf
         self.deleted: dict[str, restores.Removal] = {}
         self.deleted_since = 0
         self.changed = asyncio.Event()
@@ -66,13 +75,36 @@
         """Returns the version that the rows are known to match."""
         return models.TableVersion(self.era, self.version)
 
-    def report(self) -> members.TableReport:
+    def report(self, now: float) -> members.TableReport:
         """Returns what peers are told of this copy."""
         return members.TableReport(
             models.TableVersion(self.era, self.changed_version),
             self.overlay.fingerprint(),
+            now - self.answered_at,
         )
 
+    def record_answer(self, now: float) -> None:
+        """Records that the store answered this host's call for the table."""
+        self.answered_at = now
+        self.verified_at = now
+        self.set_follows_store(True)
+
+    def verify(self, version: models.TableVersion, answered_at: float) -> None:
+        """Records that a peer's copy matched the store.
+
+        Args:
+            version: Version of the peer's copy. It says nothing about this
+                host's rows if they lack a change that the peer has.
+            answered_at: When the store answered the peer.
+        """
+        if version.era == self.era and version.number <= self.version:
+            self.verified_at = max(self.verified_at, answered_at)
+
+    def forget_answers(self) -> None:
+        """Takes the rows as outdated until the store has answered again."""
+        self.answered_at = -math.inf
+        self.verified_at = -math.inf
+
     def current_rows(self) -> dict[str, wire.Row]:
         """Returns the rows in force by key."""
         rows = dict(self.rows)
--- a/src/banyanshed/gateway/peer_messages.py
+++ b/src/banyanshed/gateway/peer_messages.py
@@ -32,6 +32,8 @@
 NO_LIMIT = -1
 FOREVER = -1
 NEVER = -1
+# Ages of the store's answers above this are reported as NEVER.
+MAX_ANSWER_AGE_S = 60.0
 
 
 class EncodedHost(msgspec.Struct, array_like=True, frozen=True):
@@ -109,16 +111,20 @@
     claimed_by: str
 
 
-class EncodedEras(msgspec.Struct, array_like=True, frozen=True):
-    """Eras of a host's tables, and what it keeps from before a restore.
+class EncodedReports(msgspec.Struct, array_like=True, frozen=True):
+    """What a host reports of its tables, besides their versions.
 
-    The latter are fingerprints, 0 for none, and left out if both are 0.
+    These are the eras, the fingerprints of what it keeps from before a restore,
+    0 for none, and the ages of the store's last answers in milliseconds, NEVER
+    if there is none.
     """
 
     op: int = 0
     servers: int = 0
     op_confirmed: int = 0
     servers_confirmed: int = 0
+    op_age_ms: int = NEVER
+    servers_age_ms: int = NEVER
 
 
 class Heartbeat(msgspec.Struct, array_like=True, tag="b", frozen=True):
@@ -138,7 +144,7 @@
     evidence: list[EncodedEvidence]
     limits: list[EncodedLimit] = []
     demand: list[EncodedDemand] | None = None
-    tables: EncodedEras = EncodedEras()
+    tables: EncodedReports = EncodedReports()
     suspects: list[EncodedSuspect] = []
     # Whether the host, which is ready, reaches no backend server.
     is_cut: bool = False
@@ -188,6 +194,7 @@
     rows: list[EncodedRow]
     era: int = 0
     confirmed: list[EncodedConfirmed] = []
+    answer_age_ms: int = NEVER
 
 
 class Digest(msgspec.Struct, array_like=True, tag="d", frozen=True):
@@ -206,7 +213,7 @@
     evidence: list[EncodedEvidence]
     limits: list[EncodedLimit] = []
     demand: list[EncodedDemand] = []
-    tables: EncodedEras = EncodedEras()
+    tables: EncodedReports = EncodedReports()
     suspects: list[EncodedSuspect] = []
     # Those of the ready hosts that reach no backend server.
     cut: list[int] = []
@@ -336,18 +343,29 @@
     """Encodes all rows of a table, and what is kept beside them."""
     confirmed = mirror.confirmed_page()
     rows = tuple(mirror.rows.values())
-    return encode_page(dataclasses.replace(confirmed, rows=rows), now)
+    page = dataclasses.replace(confirmed, rows=rows)
+    return encode_page(page, now, now - mirror.answered_at)
 
 
-def encode_page(page: wire.Page, now: float) -> bytes:
-    """Encodes a page of a table's rows."""
+def encode_page(
+    page: wire.Page, now: float, answer_age_s: float = math.inf
+) -> bytes:
+    """Encodes a page of a table's rows.
+
+    Args:
+        page: The rows.
+        now: Current time in seconds.
+        answer_age_s: Seconds since the store last answered this host's call
+            for the table.
+    """
     rows = [EncodedRow(row.key, row.value, row.version) for row in page.rows]
     confirmed = []
     if isinstance(page, mirrors.PeerPage):
         confirmed = [
             _encode_confirmed(key, entry, now) for key, entry in page.confirmed
         ]
-    return encode(EncodedTable(page.version, rows, page.era, confirmed))
+    age_ms = _encode_answer_age(answer_age_s)
+    return encode(EncodedTable(page.version, rows, page.era, confirmed, age_ms))
 
 
 def decode_table(data: bytes, table: str, now: float) -> mirrors.PeerPage:
@@ -368,19 +386,26 @@
         for entry in encoded.confirmed
     )
     return mirrors.PeerPage(
-        rows, encoded.version, False, encoded.era, confirmed
+        rows,
+        encoded.version,
+        False,
+        encoded.era,
+        confirmed,
+        _decode_answer_age(encoded.answer_age_ms),
     )
 
 
-def encode_eras(
+def encode_reports(
     operators: members.TableReport, servers: members.TableReport
-) -> EncodedEras:
-    """Encodes the eras of a host's tables, and what it keeps beside them."""
-    return EncodedEras(
+) -> EncodedReports:
+    """Encodes what a host reports of its tables, besides their versions."""
+    return EncodedReports(
         operators.version.era,
         servers.version.era,
         operators.confirmed,
         servers.confirmed,
+        _encode_answer_age(operators.answer_age_s),
+        _encode_answer_age(servers.answer_age_s),
     )
 
 
@@ -388,14 +413,17 @@
     message: Heartbeat | Digest,
 ) -> tuple[members.TableReport, members.TableReport]:
     """Returns what a host reports of its two tables, the operators' first."""
-    eras = message.tables
+    reports = message.tables
     return (
         members.TableReport(
-            models.TableVersion(eras.op, message.op_version), eras.op_confirmed
+            models.TableVersion(reports.op, message.op_version),
+            reports.op_confirmed,
+            _decode_answer_age(reports.op_age_ms),
         ),
         members.TableReport(
-            models.TableVersion(eras.servers, message.servers_version),
-            eras.servers_confirmed,
+            models.TableVersion(reports.servers, message.servers_version),
+            reports.servers_confirmed,
+            _decode_answer_age(reports.servers_age_ms),
         ),
     )
 
@@ -456,7 +484,7 @@
             encode_evidence(summary.evidence),
             encode_limits(summary.limits, servers),
             encode_demand(summary.demand),
-            encode_eras(summary.operators, summary.servers),
+            encode_reports(summary.operators, summary.servers),
             encode_suspects(summary.suspects),
             by_state[members.HostState.CUT],
         )
@@ -561,6 +589,15 @@
     ]
 
 
+def _encode_answer_age(age_s: float) -> int:
+    """Encodes an age, rounded up; NEVER if it tells nothing of use."""
+    return math.ceil(age_s * 1000.0) if age_s <= MAX_ANSWER_AGE_S else NEVER
+
+
+def _decode_answer_age(age_ms: int) -> float:
+    return math.inf if age_ms < 0 else age_ms / 1000.0
+
+
 def _encode_age(age_s: float | None) -> int:
     return NEVER if age_s is None else round(age_s * 1000.0)
 
--- a/src/banyanshed/gateway/sources.py
+++ b/src/banyanshed/gateway/sources.py
@@ -152,15 +152,19 @@
         self.peers: dict[str, PeerTables] = {}
         self.current_names: dict[str, str] = {}
 
-    def choose(self, table: str, failures: int, now: float) -> Source:
+    def choose(
+        self, table: str, failures: int, is_outdated: bool, now: float
+    ) -> Source:
         """Returns the source for the next call and logs a change of it.
 
         Args:
             table: Name of the table.
             failures: Number of failed calls since the last successful one.
+            is_outdated: Whether the host's copy may miss changes for longer
+                than it may rely on a relay.
             now: Current time.
         """
-        source = self._choose(table, failures, now)
+        source = self._choose(table, failures, is_outdated, now)
         if self.current_names.get(table) != source.name:
             self.current_names[table] = source.name
             logs.log_event("feed_source", table=table, source=source.name)
@@ -171,7 +175,9 @@
         for peer in self.peers.values():
             peer.close()
 
-    def _choose(self, table: str, failures: int, now: float) -> Source:
+    def _choose(
+        self, table: str, failures: int, is_outdated: bool, now: float
+    ) -> Source:
         if not self.relays.is_needed(now):
             return self.store
         near = self.relays.own_region_relays(now)
@@ -179,7 +185,7 @@
         if own in {host.id for host in near}:
             wait_s = self.applier.waits_of(table).relay_poll_s
             return dataclasses.replace(self.store, wait_s=wait_s)
-        if failures >= len(near):
+        if is_outdated or failures >= len(near):
             return self.store
         first = xxhash.xxh32_intdigest(own.encode())
         host = near[(first + failures) % len(near)]
--- a/src/banyanshed/gateway/table_sync.py
+++ b/src/banyanshed/gateway/table_sync.py
@@ -103,7 +103,8 @@
         page = mirror.changes_after(after.number)
         if page is None or mirror.era > after.era:
             return messages.Response(410)
-        body = peer_messages.encode_page(page, self.loop.time())
+        now = self.loop.time()
+        body = peer_messages.encode_page(page, now, now - mirror.answered_at)
         return messages.Response(200, (), body)
 
     def _vouches_until(self, mirror: mirrors.Mirror) -> float:
@@ -242,6 +243,8 @@
         if page is None:
             return False
         changed = self.applier.replace(mirror, page)
+        copied = models.TableVersion(page.era, page.version)
+        mirror.verify(copied, self.loop.time() - page.answer_age_s)
         logs.log_event(
             "table_copied",
             table=mirror.table,
--- a/src/banyanshed/steering/members.py
+++ b/src/banyanshed/steering/members.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Collection, Iterable
 import dataclasses
 import enum
+import math
 
 from banyanshed.steering import models
 
@@ -65,10 +66,13 @@
         version: Newest version that it has.
         confirmed: Fingerprint of what it keeps from before a restore of the
             store; 0 if there is nothing.
+        answer_age_s: Seconds from the store's last answer to the host until
+            the report; infinite if there was none or the host doesn't tell.
     """
 
     version: models.TableVersion = models.NO_TABLE
     confirmed: int = 0
+    answer_age_s: float = math.inf
 
     def merge(self, newer: "TableReport") -> "TableReport":
         """Returns the newer report; messages may arrive out of order."""
--- a/src/banyanshed/steering/waits.py
+++ b/src/banyanshed/steering/waits.py
@@ -56,6 +56,10 @@
 # can't be told from one without changes.
 RELAY_POLL_SHARE = 0.4
 ANSWER_AGE_SHARE = 0.56
+# Fraction of a table's deadline: how long a host relies on a relay without
+# word that its copy still matches the store. The rest is for a connection to
+# the store, the call, and the delivery of a request.
+UNVERIFIED_SHARE = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +78,8 @@
             changes, counted from the last answer.
         max_answer_age_s: Age of the last answer of the store from which a
             relay no longer vouches for it.
+        max_unverified_s: Time since the host's copy was last known to match
+            the store from which it asks the store itself.
     """
 
     bound_s: float
@@ -84,6 +90,7 @@
     copy_timeout_s: float
     relay_poll_s: float
     max_answer_age_s: float
+    max_unverified_s: float
 
 
 class Waits:
@@ -159,4 +166,5 @@
         bound_s * COPY_TIMEOUT_SHARE,
         min(poll_s, bound_s * RELAY_POLL_SHARE),
         bound_s * ANSWER_AGE_SHARE,
+        bound_s * UNVERIFIED_SHARE,
     )
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -67,7 +67,7 @@
     def __init__(self, store):
         self.store = sources.Source("store", store, 20.0, True)
 
-    def choose(self, table, failures, now):
+    def choose(self, table, failures, is_outdated, now):
         del table, failures, now
         return self.store
 
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -1,5 +1,7 @@
 """Mirrors of hosts that missed, or were cut off during, a restore."""
 
+import math
+
 import msgspec
 import pytest
 
@@ -101,7 +103,7 @@
     changed = copy(late, peer) if is_copied else adopt(late, peer)
     assert {row.key for row in changed} == {"i1", "i2", "i3"}
     assert in_force(late) == before
-    assert late.report() == peer.report()
+    assert late.report(100.0) == peer.report(100.0)
 
 
 def test_a_host_that_is_ahead_of_its_peer_keeps_what_was_written_again():
@@ -181,6 +183,8 @@
         models.TableVersion(0, 5),
         models.TableVersion(0, 6),
     ]
+    # Hosts of earlier releases don't tell when the store answered them.
+    assert [t.answer_age_s for t in tables] == [math.inf, math.inf]
 
 
 def test_what_is_remembered_of_removals_is_bounded():
--- a/tests/test_silent_relays.py
+++ b/tests/test_silent_relays.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import enum
+import math
+import random
 import types
 
 import pytest
@@ -11,11 +13,13 @@
 from banyanshed.gateway import feeds
 from banyanshed.gateway import metrics
 from banyanshed.gateway import mirrors
+from banyanshed.gateway import peer_messages
 from banyanshed.gateway import sources
 from banyanshed.platform import wire
 from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import waits
+from tests import gateway_fleet
 from tests import steering_cases as cases
 from tests import test_waits
 from tests import virtual_time
@@ -141,12 +145,12 @@
         return self.loop.time() - changed_at
 
 
-def run_follower(scenario, table, bounds):
+def run_follower(scenario, table, bounds, *arguments):
     async def run():
         follower = Follower(table, bounds)
         task = asyncio.ensure_future(follower.feed.run())
         try:
-            return await scenario(follower)
+            return await scenario(follower, *arguments)
         finally:
             task.cancel()
 
@@ -159,7 +163,7 @@
 def test_a_follower_learns_in_time_when_both_relays_fall_silent(
     silence, table, bounds
 ):
-    async def scenario(follower):
+    async def scenario(follower, phase_s):
         await asyncio.sleep(phase_s)
         for relay in follower.relays.values():
             relay.silence = silence
@@ -168,4 +172,103 @@
         assert learned_s + waits.DELIVERY_S <= limit_s
 
     for phase_s in PHASES_S:
-        run_follower(scenario, table, bounds)
+        run_follower(scenario, table, bounds, phase_s)
+
+
+async def send_heartbeats(relay, follower, rng):
+    """Reports a relay's answers of the store to its follower."""
+    loop = asyncio.get_running_loop()
+    all_waits = follower.applier.waits
+    poll_s = follower.applier.waits_of(follower.mirror.table).relay_poll_s
+    answered_at = loop.time() - rng.uniform(0.0, poll_s)
+    while relay.silence is None:
+        await asyncio.sleep(rng.uniform(0.8, 1.2) * all_waits.heartbeat_s)
+        while answered_at + poll_s + 2 * LINK_S <= loop.time():
+            answered_at += poll_s + 2 * LINK_S
+        version = models.TableVersion(1, follower.store.version)
+        follower.mirror.verify(version, answered_at)
+
+
+@pytest.mark.parametrize("bounds", test_waits.BOUNDS)
+@pytest.mark.parametrize("table", [wire.OPERATOR_TABLE, wire.SERVER_TABLE])
+def test_a_follower_makes_no_store_calls_while_its_relays_report(table, bounds):
+    async def scenario(follower):
+        rng = random.Random(1)
+        tasks = [
+            asyncio.ensure_future(send_heartbeats(relay, follower, rng))
+            for relay in follower.relays.values()
+        ]
+        await asyncio.sleep(60.0)
+        for task in tasks:
+            task.cancel()
+        # The full read at the start.
+        assert follower.store.calls == 1
+
+    run_follower(scenario, table, bounds)
+
+
+@pytest.mark.parametrize("bounds", test_waits.BOUNDS)
+def test_a_follower_of_silent_relays_rarely_calls_the_store(bounds):
+    async def scenario(follower):
+        for relay in follower.relays.values():
+            relay.silence = Silence.FROZEN
+        await asyncio.sleep(60.0)
+        limit_s = follower.applier.waits.operator_table.max_unverified_s
+        assert follower.store.calls <= 1 + 60.0 / limit_s
+
+    run_follower(scenario, wire.OPERATOR_TABLE, bounds)
+
+
+def make_mirror(number, era=1):
+    mirror = mirrors.Mirror("op")
+    mirror.is_known = True
+    mirror.era, mirror.version, mirror.changed_version = era, number, number
+    return mirror
+
+
+@pytest.mark.parametrize(
+    "version", [models.TableVersion(1, 6), models.TableVersion(2, 5)]
+)
+def test_a_peer_with_rows_that_the_host_lacks_verifies_nothing(version):
+    mirror = make_mirror(5)
+    mirror.verify(version, 100.0)
+    assert mirror.verified_at == -math.inf
+    mirror.verify(models.TableVersion(1, 5), 100.0)
+    assert mirror.verified_at == 100.0
+
+
+def test_hosts_report_only_what_the_store_answered_themselves():
+    mirror = make_mirror(5)
+    mirror.verify(models.TableVersion(1, 5), 100.0)
+    assert mirror.report(101.0).answer_age_s == math.inf
+    mirror.record_answer(102.0)
+    assert mirror.report(103.0).answer_age_s == 1.0
+
+
+@pytest.mark.parametrize("age_s", [0.0, 1.25, math.inf])
+def test_a_copied_table_tells_the_age_of_the_stores_answer(age_s):
+    mirror = make_mirror(5)
+    mirror.answered_at = 100.0 - age_s
+    data = peer_messages.encode_table(mirror, 100.0)
+    page = peer_messages.decode_table(data, "op", 100.0)
+    assert page.answer_age_s == age_s
+
+
+def test_a_process_that_stood_still_takes_its_tables_as_outdated():
+    async def scenario(fleet):
+        gossip = fleet.hosts["h1"].gossip
+        mirror = gossip.mirrors["op"]
+        now = gossip.loop.time()
+        gossip.check_for_stall(1000.0, now)
+        gossip.check_for_stall(1000.1, now)
+        mirror.record_answer(now)
+        gossip.check_for_stall(1002.0, now)
+        assert mirror.report(now).answer_age_s == math.inf
+        # Reports that waited meanwhile say nothing.
+        report = members.TableReport(mirror.table_version(), 0, 0.0)
+        gossip._verify_tables(report, report, now)
+        assert mirror.verified_at == -math.inf
+        gossip._verify_tables(report, report, now + 1.0)
+        assert mirror.verified_at == now + 1.0
+
+    gateway_fleet.run_scenario(scenario)
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -69,6 +69,19 @@
         assert total_s <= table.bound_s
 
 
+def test_hosts_leave_silent_relays_within_the_bound(all_waits):
+    # They connect to the store, call it and send the request on.
+    for table in tables(all_waits):
+        total_s = table.max_unverified_s + 2 * CALL_S + waits.DELIVERY_S
+        assert total_s <= table.bound_s
+
+
+def test_heartbeats_of_calm_relays_arrive_before_hosts_leave_them(all_waits):
+    for table in tables(all_waits):
+        age_s = table.relay_poll_s + CALL_S + all_waits.heartbeat_s
+        assert age_s <= table.max_unverified_s + 1e-9
+
+
 def test_relays_hear_from_the_store_before_their_followers_leave(all_waits):
     for table in tables(all_waits):
         assert table.relay_poll_s + CALL_S <= table.max_answer_age_s
