Take no status above 599 for a response of a server

A report of status 000 led here: the parser rejects statuses below 100 itself, skips interim ones, and takes a 101 that nobody asked for as malformed; above 599 it checks nothing.

Cause: a three-digit number was taken for a status of the protocol. Change: a connection to a server ends at such a head, as at any malformed response; the request is sent on if its route allows it, else it ends with 502. test_a_status_that_is_no_final_response_reaches_no_caller failed for 600, 700 and 999 before and passes; 000, 001, 099, 100, 101 and 199 passed before.

--- a/src/banyanshed/gateway/clients.py
+++ b/src/banyanshed/gateway/clients.py
@@ -13,6 +13,9 @@
 
 MAX_RESPONSE_BYTES = 32 << 20
 MAX_HEADER_BYTES = 64 << 10
+# The parser itself rejects statuses below 100 and passes those from 100 on as
+# interim responses.
+MAX_STATUS = 599
 # Limit on responses skipped before the expected one: interim responses (1xx)
 # and responses to other requests.
 MAX_SKIPPED_RESPONSES = 16
@@ -182,6 +185,9 @@
                 self._count_skipped_response()
                 continue
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    self.terminate(f"malformed status {event.status_code}")
+                    return
                 self.response = event
                 self._drop_body()
                 continue
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -62,6 +62,69 @@
     gateway_fleet.run_scenario(scenario)
 
 
+def respond_with_head(status, *headers):
+    """Returns an action that writes a whole response with this head."""
+
+    async def act(exchange):
+        request_id = exchange.headers["x-banyanshed-request-id"]
+        lines = [
+            f"HTTP/1.1 {status} Odd",
+            f"X-Banyanshed-Request-Id: {request_id}",
+            *headers,
+            "Content-Length: 2",
+        ]
+        exchange.write("\r\n".join(lines).encode() + b"\r\n\r\nok")
+        await exchange.writer.drain()
+        await asyncio.sleep(0.05)
+        exchange.close()
+
+    return act
+
+
+async def assert_no_caller_gets_it(fleet, action):
+    """Checks that a caller gets another server's response or a failure."""
+    gateway_fleet.next_server(fleet).action = action
+    response = await fleet.call()
+    stamp = response.find(b"x-banyanshed-response-stamp")
+    assert (response.status, response.body) == (200, b"ok")
+    assert stamp is not None and stamp.startswith(b"stamp-")
+    for server in fleet.servers.values():
+        server.action = action
+    before = len(gateway_fleet.all_exchanges(fleet))
+    response = await fleet.call("/u/x", method="POST", body=b"x")
+    assert (response.status, response.body) == (502, b"")
+    assert len(gateway_fleet.all_exchanges(fleet)) == before + 1
+
+
+@pytest.mark.parametrize(
+    "status", ["000", "001", "099", "100", "101", "199", "600", "700", "999"]
+)
+def test_a_status_that_is_no_final_response_reaches_no_caller(status):
+    async def scenario(fleet):
+        stamp = "X-Banyanshed-Response-Stamp: stamp-x"
+        await assert_no_caller_gets_it(fleet, respond_with_head(status, stamp))
+
+    gateway_fleet.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("status", ["200", "201", "299"])
+@pytest.mark.parametrize(
+    "headers",
+    [
+        (),
+        ("X-Banyanshed-Responre-Stamp: s",),
+        ("X-Banyanshed-Response-Stamp:",),
+    ],
+)
+def test_a_success_without_a_servers_stamp_reaches_no_caller(status, headers):
+    async def scenario(fleet):
+        await assert_no_caller_gets_it(
+            fleet, respond_with_head(status, *headers)
+        )
+
+    gateway_fleet.run_scenario(scenario)
+
+
 def test_a_response_without_a_length_is_incomplete_after_a_reset():
     async def scenario(fleet):
         async def reset_midway(exchange):
