Take no success without a server's signature

Cause: the stamp was passed on and looked at by nobody; the status alone made a response final. Change: a 2xx without a stamp is a lost response. Its connection ends, its headers are not believed, the attempt counts as failed; the request is sent on if its route allows it, else it ends with 502, as it may have run.

A spoiled value of the stamp can't be told from a true one.

--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -44,15 +44,20 @@
         MISDIRECTED: Status 421: the request reached another server than the
             expected one, which did not run it.
         FAILED: Status 5xx, 408 or 429; the server may have run the request.
+        UNSIGNED: A success without the server's signature: bytes that were
+            spoiled. The server may have run the request.
     """
 
     FINAL = "final"
     NOT_RUN = "not_run"
     MISDIRECTED = "misdirected"
     FAILED = "failed"
+    UNSIGNED = "unsigned"
 
 
 _ANSWERED = frozenset({Verdict.FINAL, Verdict.FAILED})
+# Responses whose headers tell nothing of the chosen server.
+_UNTRUSTED = frozenset({Verdict.MISDIRECTED, Verdict.UNSIGNED})
 
 
 class Ending(enum.Enum):
@@ -467,9 +472,11 @@
             progress.may_have_run = True
             response = await self._exchange(progress, plan, entry, connection)
             self.reachability.record_answer(self.loop.time())
-            self.connection_pools.release(entry.id, connection)
             verdict = classify(response)
-            if verdict is not Verdict.MISDIRECTED:
+            if verdict is Verdict.UNSIGNED:
+                connection.abort()
+            self.connection_pools.release(entry.id, connection)
+            if verdict not in _UNTRUSTED:
                 self.limits.observe_response(
                     entry, response.headers, self.loop.time()
                 )
@@ -580,6 +587,8 @@
         if verdict is Verdict.FAILED:
             progress.failure = response
             return health.Outcome.FAILURE
+        if verdict is Verdict.UNSIGNED:
+            return health.Outcome.FAILURE
         progress.may_have_run = progress.may_have_run_before
         if verdict is Verdict.MISDIRECTED:
             self.connection_pools.drop(server.id)
@@ -723,6 +732,9 @@
         return Verdict.NOT_RUN
     if response.status >= 500 or response.status in NOT_RUN_STATUSES:
         return Verdict.FAILED
+    is_success = 200 <= response.status < 300
+    if is_success and not response.find(header_names.STAMP):
+        return Verdict.UNSIGNED
     return Verdict.FINAL
 
 
--- a/src/banyanshed/platform/headers.py
+++ b/src/banyanshed/platform/headers.py
@@ -21,6 +21,8 @@
 EXPECTED_SERVER = b"x-banyanshed-expect-instance"
 # Set by a backend server that rejected the request without running it.
 NOT_RUN = b"x-banyanshed-not-executed"
+# Signature that a backend server puts on every response of its own.
+STAMP = b"x-banyanshed-response-stamp"
 SERVER_LOAD = b"x-banyanshed-server-load"
 RETRY_AFTER = b"retry-after"
 # Requests per second that a backend server takes from all hosts together, in
