Refuse what a stopping host can't finish, and answer what it cuts

Cause: a host that had stopped accepting connections went on reading and passing on requests on open ones, and ended with whatever was in flight. Class: a stop that ends by the clock without telling those who wait.

Change: once it accepts no more connections, a host answers requests that are complete only now with 503 (not run, come back at once), and peers that it can't serve theirs. From SIGTERM on it sends nothing to a server from which it expects the answer after its own end. At that end each request still in flight gets a final response: 502 if a server may have run it, else 503. `stopped` tells how many.

--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import enum
+import math
 from typing import Any
 
 from banyanshed.gateway import clients
@@ -30,6 +31,9 @@
 ANSWER_GRACE_S = 0.15
 MAX_CONNECT_FAILURES = 4
 DEFAULT_RETRY_AFTER_S = 0.3
+# Retry-After of a host that is stopping: the other hosts may serve at once.
+STOPPING_RETRY_AFTER_S = 0.0
+STOPPING = "stopping"
 # Statuses that tell a caller that the request has not run. Of a backend
 # server's responses, only 421 and those with the header NOT_RUN are taken so.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -192,8 +196,26 @@
         self.reachability = reachability
         self.peer_forwarder = peer_forwarder
         self.in_flight_for_peers = 0
+        self.serving: set[asyncio.Task[Any]] = set()
+        self.ends_at = math.inf
+        self.refuses_requests = False
+        self.is_ending = False
         self.loop = asyncio.get_running_loop()
 
+    def begin_stop(self, ends_at: float) -> None:
+        """Sets when requests must have ended, as the host stops."""
+        self.ends_at = ends_at
+
+    def refuse_requests(self) -> None:
+        """Refuses all further requests of callers and peers."""
+        self.refuses_requests = True
+
+    def end_requests(self) -> None:
+        """Ends all requests at once; each gets a final response."""
+        self.is_ending = True
+        for task in self.serving:
+            task.cancel()
+
     async def serve(self, request: messages.Request) -> messages.Response:
         """Returns the response to a caller; errors become a 502 response."""
         return await self._run(Progress(request))
@@ -207,7 +229,8 @@
         result = peer_forwarding.Result.UNAVAILABLE
         response = messages.Response(503)
         # A host that is cut off, too, does not pass it on once more.
-        if attempts and not self.reachability.is_cut:
+        is_able = not self.reachability.is_cut and not self.refuses_requests
+        if attempts and is_able:
             progress = Progress(request, attempts_left_by_peer=attempts)
             self.in_flight_for_peers += 1
             try:
@@ -227,18 +250,37 @@
         return peer_forwarding.response_to_peer(request, result, response)
 
     async def _run(self, progress: Progress) -> messages.Response:
+        task = asyncio.current_task()
+        assert task is not None
+        self.serving.add(task)
         try:
             response = await self._serve(progress)
         except asyncio.CancelledError:
+            if self.is_ending:
+                task.uncancel()
+                return self._respond_to_stop(progress)
             self._record_end(progress, Ending.CLIENT_LEFT, 0)
             raise
         except Exception as error:  # pylint: disable=broad-except
             progress.reason = f"{type(error).__name__}: {error}"
             self._record_end(progress, Ending.BROKEN, 502)
             return messages.Response(502)
+        finally:
+            self.serving.discard(task)
         return response
 
+    def _respond_to_stop(self, progress: Progress) -> messages.Response:
+        """Returns the response to a request that the host no longer serves."""
+        progress.reason = STOPPING
+        if progress.may_have_run:
+            self._record_end(progress, Ending.FAILED, 502)
+            return messages.Response(502)
+        self._record_end(progress, Ending.REJECTED, 503)
+        return make_refusal(503, STOPPING_RETRY_AFTER_S)
+
     async def _serve(self, progress: Progress) -> messages.Response:
+        if self.refuses_requests:
+            return self._respond_to_stop(progress)
         is_for_peer = progress.attempts_left_by_peer is not None
         plan = self.router.plan(read_query(progress.request), is_for_peer)
         if isinstance(plan, routing.Refusal):
@@ -423,6 +465,12 @@
             progress.retry_after_s = choice.retry_after_s
             progress.inputs = choice.inputs
             return None
+        if now + choice.expected_s > self.ends_at:
+            # Another host can still see it through.
+            progress.reason = progress.reason or STOPPING
+            progress.retry_after_s = STOPPING_RETRY_AFTER_S
+            progress.inputs = f"expected_ms={choice.expected_s * 1000:.0f}"
+            return None
         if not self._try_spend_retry(progress, plan):
             return None
         progress.skipped.update(choice.skipped)
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -68,6 +68,8 @@
 STARTING_CHECK_S = 0.02
 # Interval at which the settings file is checked for changes, in seconds.
 SETTINGS_CHECK_S = 1.0
+# Interval at which a host that stops checks for idle connections, in seconds.
+STOP_CHECK_S = 0.02
 # Settings that a reload replaces; the others take effect at the next start.
 RELOADABLE = frozenset(
     {"seeds", "memory_bytes", "stop_s", "bounds", "directory_ttl_max_s"}
@@ -76,9 +78,11 @@
 # Fractions of the setting stop_s, the time between SIGTERM and SIGKILL, both
 # counted from the start of the graceful stop. After the first, the host accepts
 # no more connections; until then, callers and peers learn that it is leaving.
-# After the second, it ends without waiting for the requests still in flight.
+# After the second, it answers the requests still in flight itself; the third
+# is the time for these responses to be sent.
 ACCEPT_SHARE = 0.5
 FINISH_SHARE = 0.87
+FLUSH_SHARE = 0.04
 # Shares of the memory for request bodies and for buffered responses. Up to
 # three copies of a response exist while it is forwarded.
 MEMORY_SHARE_FOR_BODIES = 0.25
@@ -596,19 +600,26 @@
         self.fleet.own_state = members.HostState.LEAVING
         self.gossip.send_heartbeat()
         self.listener.closing = True
+        finish_at = stop_started_at + stop_s * FINISH_SHARE
+        self.forwarder.begin_stop(finish_at)
         await asyncio.sleep(stop_s * ACCEPT_SHARE)
         self.server.close()
-        for connection in list(self.listener.connections):
-            if connection.is_idle:
-                connection.close()
+        self.forwarder.refuse_requests()
+        await self._close_connections(finish_at)
+        cut = len(self.forwarder.serving)
+        self.forwarder.end_requests()
+        await self._close_connections(finish_at + stop_s * FLUSH_SHARE)
+        logs.log_event("stopped", cut=cut)
+
+    async def _close_connections(self, until: float) -> None:
+        """Closes connections as they become idle, until none is left."""
         while self.listener.connections or self.forwarder.in_flight_for_peers:
-            if self.loop.time() - stop_started_at > stop_s * FINISH_SHARE:
-                break
-            await asyncio.sleep(0.02)
             for connection in list(self.listener.connections):
                 if connection.is_idle:
                     connection.close()
-        logs.log_event("stopped", cut=self._in_flight())
+            if self.loop.time() >= until:
+                return
+            await asyncio.sleep(STOP_CHECK_S)
 
     def _in_flight(self) -> int:
         return sum(not c.is_idle for c in self.listener.connections)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -262,8 +262,7 @@
         await fleet.wait_until(lambda: gateway_fleet.all_exchanges(fleet))
         fleet.hosts["h1"].stopping.set()
         await asyncio.wait_for(fleet.tasks["h1"], 60.0)
-        assert not call.done()
-        call.cancel()
+        assert (await call).status == 502
 
     routes = [gateway_fleet.route(timeout="100s")]
     gateway_fleet.run_scenario(
