--- a/tests/test_silent_relays.py
+++ b/tests/test_silent_relays.py
@@ -6,6 +6,7 @@
 import random
 import types
 
+import msgspec
 import pytest
 
 from banyanshed import exceptions
@@ -272,3 +273,23 @@
         assert mirror.verified_at == now + 1.0
 
     gateway_fleet.run_scenario(scenario)
+
+
+class EarlierTable(msgspec.Struct, array_like=True):
+    """A table as hosts of earlier releases decode it."""
+
+    version: int
+    rows: list[peer_messages.EncodedRow]
+    era: int = 0
+    confirmed: list[peer_messages.EncodedConfirmed] = []
+
+
+def test_hosts_of_earlier_releases_and_this_one_read_each_others_tables():
+    mirror = make_mirror(5)
+    mirror.answered_at = 99.0
+    data = peer_messages.encode_table(mirror, 100.0)
+    earlier = msgspec.msgpack.decode(data, type=EarlierTable)
+    assert (earlier.version, earlier.era) == (5, 1)
+    data = msgspec.msgpack.encode(earlier)
+    page = peer_messages.decode_table(data, "op", 100.0)
+    assert (page.version, page.answer_age_s) == (5, math.inf)
