--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import contextlib
-import dataclasses
-import enum
 import math
 from typing import Any
 
 from banyanshed.gateway import clients
+from banyanshed.gateway import conversion
 from banyanshed.gateway import crashes
 from banyanshed.gateway import limits as limits_lib
 from banyanshed.gateway import logs
@@ -15,6 +14,7 @@
 from banyanshed.gateway import metrics
 from banyanshed.gateway import peer_forwarding
 from banyanshed.gateway import pools
+from banyanshed.gateway import progress as progress_lib
 from banyanshed.platform import headers as header_names
 from banyanshed.steering import budgets
 from banyanshed.steering import health
@@ -30,127 +30,19 @@
 # the timeout may still arrive.
 ANSWER_GRACE_S = 0.15
 MAX_CONNECT_FAILURES = 4
-DEFAULT_RETRY_AFTER_S = 0.3
 # Retry-After of a host that is stopping: the other hosts may serve at once.
 STOPPING_RETRY_AFTER_S = 0.0
 STOPPING = "stopping"
-# Statuses that tell a caller that the request has not run. Of a backend
-# server's responses, only 421 and those with the header NOT_RUN are taken so.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
-
-class Verdict(enum.Enum):
-    """Meaning of a backend server's response for the request.
-
-    Attributes:
-        FINAL: The response is returned to the caller.
-        NOT_RUN: The server states that it did not run the request.
-        MISDIRECTED: Status 421: the request reached another server than the
-            expected one, which did not run it.
-        FAILED: Status 5xx, 408 or 429; the server may have run the request.
-        UNSIGNED: A success without the server's signature: bytes that were
-            spoiled. The server may have run the request.
-    """
-
-    FINAL = "final"
-    NOT_RUN = "not_run"
-    MISDIRECTED = "misdirected"
-    FAILED = "failed"
-    UNSIGNED = "unsigned"
-
-
-_ANSWERED = frozenset({Verdict.FINAL, Verdict.FAILED})
+_ANSWERED = frozenset({conversion.Verdict.FINAL, conversion.Verdict.FAILED})
 # Responses whose headers tell nothing of the chosen server.
-_UNTRUSTED = frozenset({Verdict.MISDIRECTED, Verdict.UNSIGNED})
-
-
-class Ending(enum.Enum):
-    """How a request ended, for logs and metrics.
-
-    Attributes:
-        ANSWERED: A backend server's final response was returned.
-        REJECTED: No backend server can have run the request. It was rejected
-            by routing, or no server was found, reached or ready to run it in
-            time.
-        FAILED: A backend server may have run the request, but sent an error,
-            or its response was lost.
-        TIMED_OUT: The time limit was reached after a backend server may have
-            run the request; no server sent an error.
-        CLIENT_LEFT: The request was cancelled: the caller's connection ended,
-            or the host stopped.
-        BROKEN: An unexpected exception in this host.
-    """
-
-    ANSWERED = "answered"
-    REJECTED = "rejected"
-    FAILED = "failed"
-    TIMED_OUT = "timed_out"
-    CLIENT_LEFT = "client_left"
-    BROKEN = "broken"
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """State of a request while it is served.
-
-    Attributes:
-        request: The request.
-        plan: Route and service of the request; None until it is planned.
-        tried: Servers that were chosen for an attempt.
-        sent_count: Number of attempts in which the request was sent.
-        connect_failures: Number of failed connection attempts.
-        may_have_run: Whether a server may have run the request.
-        may_have_run_before: may_have_run before the current attempt.
-        failure: Last error response of a server.
-        reason: Why the request failed or was rejected, or why the last
-            attempt was not successful.
-        retry_after_s: Seconds after which the caller should retry.
-        trace: For each attempt the server, the outcome, its duration in
-            milliseconds, and the load and warmth of the chosen server.
-        inputs: Values that a rejection was based on.
-        skipped: Servers that were passed over because of their limit.
-        fingerprint: Hash of the request; 0 until it is planned.
-        is_trial: Whether it tries whether servers bear a refused request.
-        examination: Finds out whether the last attempt ended its server.
-        attempts_left_by_peer: Attempts that a peer left for the request that
-            it passed on; None for a request of an own caller.
-        asked_peers: Peers to which the request was passed on.
-        ending: How the request ended; None until then.
-    """
-
-    request: messages.Request
-    plan: routing.Plan | None = None
-    tried: list[models.ServerId] = dataclasses.field(default_factory=list)
-    sent_count: int = 0
-    connect_failures: int = 0
-    may_have_run: bool = False
-    may_have_run_before: bool = False
-    failure: messages.Response | None = None
-    reason: str = ""
-    retry_after_s: float = DEFAULT_RETRY_AFTER_S
-    trace: list[tuple[str, str, int, float, bool]] = dataclasses.field(
-        default_factory=list
-    )
-    inputs: str = ""
-    skipped: set[models.ServerId] = dataclasses.field(default_factory=set)
-    fingerprint: models.Fingerprint = models.Fingerprint(0)
-    is_trial: bool = False
-    examination: asyncio.Task[None] | None = None
-    attempts_left_by_peer: int | None = None
-    asked_peers: list[models.HostId] = dataclasses.field(default_factory=list)
-    ending: Ending | None = None
-
-    def attempts_left(self, route: models.Route) -> int:
-        """Returns the number of attempts that the route still allows."""
-        allowed = route.attempts
-        if self.attempts_left_by_peer is not None:
-            allowed = min(allowed, self.attempts_left_by_peer)
-        return allowed - self.sent_count
+_UNTRUSTED = frozenset(
+    {conversion.Verdict.MISDIRECTED, conversion.Verdict.UNSIGNED}
+)
 
 
 _RESULTS = {
-    Ending.ANSWERED: peer_forwarding.Result.ANSWERED,
-    Ending.REJECTED: peer_forwarding.Result.NOT_RUN,
+    progress_lib.Ending.ANSWERED: peer_forwarding.Result.ANSWERED,
+    progress_lib.Ending.REJECTED: peer_forwarding.Result.NOT_RUN,
 }
 
 
@@ -218,7 +110,7 @@
 
     async def serve(self, request: messages.Request) -> messages.Response:
         """Returns the response to a caller; errors become a 502 response."""
-        return await self._run(Progress(request))
+        return await self._run(progress_lib.Progress(request))
 
     async def serve_for_peer(
         self, request: messages.Request
@@ -231,7 +123,9 @@
         # A host that is cut off, too, does not pass it on once more.
         is_able = not self.reachability.is_cut and not self.refuses_requests
         if attempts and is_able:
-            progress = Progress(request, attempts_left_by_peer=attempts)
+            progress = progress_lib.Progress(
+                request, attempts_left_by_peer=attempts
+            )
             self.in_flight_for_peers += 1
             try:
                 response = await self._run(progress)
@@ -249,7 +143,7 @@
                 result = peer_forwarding.Result.UNAVAILABLE
         return peer_forwarding.response_to_peer(request, result, response)
 
-    async def _run(self, progress: Progress) -> messages.Response:
+    async def _run(self, progress: progress_lib.Progress) -> messages.Response:
         task = asyncio.current_task()
         assert task is not None
         self.serving.add(task)
@@ -259,35 +153,43 @@
             if self.is_ending:
                 task.uncancel()
                 return self._respond_to_stop(progress)
-            self._record_end(progress, Ending.CLIENT_LEFT, 0)
+            self._record_end(progress, progress_lib.Ending.CLIENT_LEFT, 0)
             raise
         except Exception as error:  # pylint: disable=broad-except
             progress.reason = f"{type(error).__name__}: {error}"
-            self._record_end(progress, Ending.BROKEN, 502)
+            self._record_end(progress, progress_lib.Ending.BROKEN, 502)
             return messages.Response(502)
         finally:
             self.serving.discard(task)
         return response
 
-    def _respond_to_stop(self, progress: Progress) -> messages.Response:
+    def _respond_to_stop(
+        self, progress: progress_lib.Progress
+    ) -> messages.Response:
         """Returns the response to a request that the host no longer serves."""
         progress.reason = STOPPING
         if progress.may_have_run:
-            self._record_end(progress, Ending.FAILED, 502)
+            self._record_end(progress, progress_lib.Ending.FAILED, 502)
             return messages.Response(502)
-        self._record_end(progress, Ending.REJECTED, 503)
-        return make_refusal(503, STOPPING_RETRY_AFTER_S)
+        self._record_end(progress, progress_lib.Ending.REJECTED, 503)
+        return conversion.make_refusal(503, STOPPING_RETRY_AFTER_S)
 
-    async def _serve(self, progress: Progress) -> messages.Response:
+    async def _serve(
+        self, progress: progress_lib.Progress
+    ) -> messages.Response:
         if self.refuses_requests:
             return self._respond_to_stop(progress)
         is_for_peer = progress.attempts_left_by_peer is not None
-        plan = self.router.plan(read_query(progress.request), is_for_peer)
+        plan = self.router.plan(
+            conversion.read_query(progress.request), is_for_peer
+        )
         if isinstance(plan, routing.Refusal):
             progress.reason = plan.reason.value
             progress.inputs = plan.inputs
-            self._record_end(progress, Ending.REJECTED, plan.status)
-            return make_refusal(plan.status, plan.retry_after_s)
+            self._record_end(
+                progress, progress_lib.Ending.REJECTED, plan.status
+            )
+            return conversion.make_refusal(plan.status, plan.retry_after_s)
         progress.plan = plan
         progress.fingerprint = crashes.compute_fingerprint(
             progress.request, plan
@@ -313,11 +215,13 @@
                 return self._respond_to_failure(progress, plan)
             response = await self._attempt(progress, plan, choice)
             if response is not None:
-                self._record_end(progress, Ending.ANSWERED, response.status)
+                self._record_end(
+                    progress, progress_lib.Ending.ANSWERED, response.status
+                )
                 return response
 
     async def _wait_for_judgement(
-        self, progress: Progress, plan: routing.Plan
+        self, progress: progress_lib.Progress, plan: routing.Plan
     ) -> None:
         """Waits while it is open whether the request crashes servers.
 
@@ -336,7 +240,7 @@
                     await asyncio.shield(progress.examination)
                 await self.crashes.wait_for_judgement(progress.fingerprint)
 
-    def _is_stopped(self, progress: Progress) -> bool:
+    def _is_stopped(self, progress: progress_lib.Progress) -> bool:
         """Returns whether the request may not be sent as it crashes servers."""
         if not self.crashes.is_refused(progress.fingerprint):
             return False
@@ -348,12 +252,12 @@
         )
         return True
 
-    def _is_doubtful(self, progress: Progress) -> bool:
+    def _is_doubtful(self, progress: progress_lib.Progress) -> bool:
         """Returns whether this host's links may be why no server was found."""
         return self.reachability.is_suspected or progress.connect_failures > 0
 
     async def _serve_through_peer(
-        self, progress: Progress, plan: routing.Plan
+        self, progress: progress_lib.Progress, plan: routing.Plan
     ) -> messages.Response | None:
         """Passes a request on to peers; returns None if none could serve it."""
         while self._may_ask_peer(progress, plan):
@@ -369,7 +273,9 @@
             return self._respond_from_peer(progress, plan, answer)
         return None
 
-    def _may_ask_peer(self, progress: Progress, plan: routing.Plan) -> bool:
+    def _may_ask_peer(
+        self, progress: progress_lib.Progress, plan: routing.Plan
+    ) -> bool:
         if progress.attempts_left_by_peer is not None:
             return False
         if self._is_stopped(progress):
@@ -381,7 +287,10 @@
         return plan.expires_at - self.loop.time() >= MIN_ATTEMPT_S
 
     async def _ask_peer(
-        self, progress: Progress, plan: routing.Plan, peer: members.Member
+        self,
+        progress: progress_lib.Progress,
+        plan: routing.Plan,
+        peer: members.Member,
     ) -> peer_forwarding.PeerResponse | None:
         """Asks one peer; returns None if another one may be asked."""
         started_at = self.loop.time()
@@ -414,26 +323,28 @@
 
     def _respond_from_peer(
         self,
-        progress: Progress,
+        progress: progress_lib.Progress,
         plan: routing.Plan,
         answer: peer_forwarding.PeerResponse,
     ) -> messages.Response:
         """Returns the response to a caller whose request a peer served."""
         response = answer.response
         if answer.result is peer_forwarding.Result.ANSWERED:
-            self._record_end(progress, Ending.ANSWERED, response.status)
+            self._record_end(
+                progress, progress_lib.Ending.ANSWERED, response.status
+            )
             return response
         if answer.result is peer_forwarding.Result.NOT_RUN:
             progress.reason = "rejected by a peer"
-            progress.retry_after_s = _read_retry_after_s(response)
+            progress.retry_after_s = conversion.read_retry_after_s(response)
             return self._respond_to_failure(progress, plan)
         progress.reason = "failed at a peer"
-        response = failure_to_caller(response)
-        self._record_end(progress, Ending.FAILED, response.status)
+        response = conversion.failure_to_caller(response)
+        self._record_end(progress, progress_lib.Ending.FAILED, response.status)
         return response
 
     def _next_server(
-        self, progress: Progress, plan: routing.Plan
+        self, progress: progress_lib.Progress, plan: routing.Plan
     ) -> placement.Choice | None:
         now = self.loop.time()
         if self._is_stopped(progress):
@@ -452,7 +363,7 @@
         placement_request = placement.PlacementRequest(
             plan.route,
             plan.service,
-            affinity_key(progress.request, plan.route),
+            conversion.affinity_key(progress.request, plan.route),
             plan.home_regions,
             plan.priority,
             progress.tried,
@@ -476,7 +387,9 @@
         progress.skipped.update(choice.skipped)
         return choice
 
-    def _try_spend_retry(self, progress: Progress, plan: routing.Plan) -> bool:
+    def _try_spend_retry(
+        self, progress: progress_lib.Progress, plan: routing.Plan
+    ) -> bool:
         """Takes an attempt after the first from the budget of retries."""
         if not progress.sent_count:
             return True
@@ -499,7 +412,10 @@
             )
 
     async def _attempt(
-        self, progress: Progress, plan: routing.Plan, choice: placement.Choice
+        self,
+        progress: progress_lib.Progress,
+        plan: routing.Plan,
+        choice: placement.Choice,
     ) -> messages.Response | None:
         """Sends the request to a server; returns only a final response."""
         entry = choice.server.registration
@@ -520,8 +436,8 @@
             progress.may_have_run = True
             response = await self._exchange(progress, plan, entry, connection)
             self.reachability.record_answer(self.loop.time())
-            verdict = classify(response)
-            if verdict is Verdict.UNSIGNED:
+            verdict = conversion.classify(response)
+            if verdict is conversion.Verdict.UNSIGNED:
                 connection.abort()
             self.connection_pools.release(entry.id, connection)
             if verdict not in _UNTRUSTED:
@@ -531,9 +447,9 @@
             outcome = self._assess_response(progress, entry, verdict, response)
             if verdict in _ANSWERED:
                 self.crashes.record_answer(progress.fingerprint)
-            if verdict is Verdict.FINAL:
+            if verdict is conversion.Verdict.FINAL:
                 self._record_success(plan, choice, started_at)
-                return response_to_caller(response)
+                return conversion.response_to_caller(response)
         except clients.ConnectTimedOut:
             outcome = health.Outcome.CONNECT_TIMEOUT
             self.reachability.record_connect_failure(entry.id)
@@ -573,7 +489,7 @@
 
     def _may_send(
         self,
-        progress: Progress,
+        progress: progress_lib.Progress,
         choice: placement.Choice,
         connection: clients.Connection,
     ) -> bool:
@@ -609,13 +525,15 @@
 
     async def _exchange(
         self,
-        progress: Progress,
+        progress: progress_lib.Progress,
         plan: routing.Plan,
         server: models.Registration,
         connection: clients.Connection,
     ) -> messages.Response:
         remaining_s = plan.expires_at - self.loop.time()
-        request = request_to_server(progress.request, plan, server, remaining_s)
+        request = conversion.request_to_server(
+            progress.request, plan, server, remaining_s
+        )
         expires_at = plan.expires_at + ANSWER_GRACE_S
         with self.crashes.track(progress.fingerprint, connection):
             async with asyncio.timeout_at(expires_at):
@@ -623,22 +541,22 @@
 
     def _assess_response(
         self,
-        progress: Progress,
+        progress: progress_lib.Progress,
         server: models.Registration,
-        verdict: Verdict,
+        verdict: conversion.Verdict,
         response: messages.Response,
     ) -> health.Outcome:
         """Updates the progress and returns the outcome of the attempt."""
-        if verdict is Verdict.FINAL:
+        if verdict is conversion.Verdict.FINAL:
             return health.Outcome.SUCCESS
         progress.reason = f"{verdict.value} {response.status}"
-        if verdict is Verdict.FAILED:
+        if verdict is conversion.Verdict.FAILED:
             progress.failure = response
             return health.Outcome.FAILURE
-        if verdict is Verdict.UNSIGNED:
+        if verdict is conversion.Verdict.UNSIGNED:
             return health.Outcome.FAILURE
         progress.may_have_run = progress.may_have_run_before
-        if verdict is Verdict.MISDIRECTED:
+        if verdict is conversion.Verdict.MISDIRECTED:
             self.connection_pools.drop(server.id)
             return health.Outcome.UNREACHABLE
         value = response.find(header_names.SERVER_LOAD)
@@ -668,24 +586,29 @@
             )
 
     def _respond_to_failure(
-        self, progress: Progress, plan: routing.Plan
+        self, progress: progress_lib.Progress, plan: routing.Plan
     ) -> messages.Response:
         """Returns the response to a request that no server answered."""
         if not progress.may_have_run:
-            self._record_end(progress, Ending.REJECTED, 503)
-            return make_refusal(503, progress.retry_after_s)
+            self._record_end(progress, progress_lib.Ending.REJECTED, 503)
+            return conversion.make_refusal(503, progress.retry_after_s)
         if progress.failure is not None:
-            response = failure_to_caller(progress.failure)
-            self._record_end(progress, Ending.FAILED, response.status)
+            response = conversion.failure_to_caller(progress.failure)
+            self._record_end(
+                progress, progress_lib.Ending.FAILED, response.status
+            )
             return response
         if plan.expires_at - self.loop.time() < MIN_ATTEMPT_S:
-            self._record_end(progress, Ending.TIMED_OUT, 504)
+            self._record_end(progress, progress_lib.Ending.TIMED_OUT, 504)
             return messages.Response(504)
-        self._record_end(progress, Ending.FAILED, 502)
+        self._record_end(progress, progress_lib.Ending.FAILED, 502)
         return messages.Response(502)
 
     def _record_end(
-        self, progress: Progress, ending: Ending, status: int
+        self,
+        progress: progress_lib.Progress,
+        ending: progress_lib.Ending,
+        status: int,
     ) -> None:
         elapsed_s = self.loop.time() - progress.request.arrived_at
         progress.ending = ending
@@ -705,7 +628,9 @@
             fields["route"] = plan.route.name
             fields["service"] = plan.service
             fields["customer"] = plan.customer.name if plan.customer else None
-            fields["object"] = affinity_key(progress.request, plan.route)
+            fields["object"] = conversion.affinity_key(
+                progress.request, plan.route
+            )
             fields["attempts"] = progress.trace
             fields["config_version"] = plan.config_version
         if self.crashes.suspects.is_suspected(progress.fingerprint):
@@ -719,104 +644,5 @@
             fields["limited"] = sorted(progress.skipped)
         if progress.inputs:
             fields["inputs"] = progress.inputs
-        routine = ending is Ending.ANSWERED
+        routine = ending is progress_lib.Ending.ANSWERED
         logs.log_request("request", routine, **fields)
-
-
-def read_query(request: messages.Request) -> routing.RoutingRequest:
-    """Extracts the fields of a request that routing depends on."""
-    host = request.find(b"host") or b""
-    hostname = host.decode("latin-1").rpartition(":")
-    name = hostname[0] if hostname[1] and hostname[2].isdigit() else None
-    key = request.find(header_names.API_KEY)
-    deadline = request.find(header_names.DEADLINE_MS)
-    return routing.RoutingRequest(
-        (name or host.decode("latin-1")).lower(),
-        request.target.split(b"?", 1)[0].decode("latin-1"),
-        models.ApiKey(key.decode("latin-1")) if key is not None else None,
-        header_names.decode_deadline_s(deadline)
-        if deadline is not None
-        else None,
-        request.arrived_at,
-    )
-
-
-def affinity_key(request: messages.Request, route: models.Route) -> str | None:
-    """Returns the affinity key if the route uses affinity, or None."""
-    key = request.find(header_names.AFFINITY_KEY)
-    if key is None or not route.affinity:
-        return None
-    return key.decode("latin-1")
-
-
-def request_to_server(
-    request: messages.Request,
-    plan: routing.Plan,
-    server: models.Registration,
-    remaining_s: float,
-) -> messages.Request:
-    """Builds the request that is sent to a backend server."""
-    forwarded = []
-    for name, value in messages.strip_hop_by_hop(request.headers):
-        if name in header_names.RESERVED or name == b"expect":
-            continue
-        forwarded.append((name, value))
-    forwarded.append(
-        (header_names.DEADLINE_MS, header_names.encode_deadline(remaining_s))
-    )
-    forwarded.append((header_names.EXPECTED_SERVER, server.id.encode()))
-    if plan.customer is not None:
-        forwarded.append((header_names.CUSTOMER, plan.customer.name.encode()))
-    return messages.Request(
-        request.method, request.target, forwarded, request.body
-    )
-
-
-def classify(response: messages.Response) -> Verdict:
-    """Classifies a backend server's response."""
-    if response.status == 421:
-        return Verdict.MISDIRECTED
-    if response.find(header_names.NOT_RUN) is not None:
-        return Verdict.NOT_RUN
-    if response.status >= 500 or response.status in NOT_RUN_STATUSES:
-        return Verdict.FAILED
-    is_success = 200 <= response.status < 300
-    if is_success and not response.find(header_names.STAMP):
-        return Verdict.UNSIGNED
-    return Verdict.FINAL
-
-
-def response_to_caller(response: messages.Response) -> messages.Response:
-    """Converts a server's response to the one sent to the caller."""
-    headers = messages.strip_hop_by_hop(response.headers)
-    forwarded = [
-        item for item in headers if item[0] != header_names.SERVER_LOAD
-    ]
-    return messages.Response(response.status, forwarded, response.body)
-
-
-def failure_to_caller(response: messages.Response) -> messages.Response:
-    """Converts a server's error response to the one sent to the caller.
-
-    A status that means that the request did not run becomes 502.
-    """
-    if response.status in NOT_RUN_STATUSES:
-        return messages.Response(502)
-    return response_to_caller(response)
-
-
-def _read_retry_after_s(response: messages.Response) -> float:
-    """Returns the time in a peer's refusal, in seconds."""
-    value = response.find(header_names.RETRY_AFTER)
-    try:
-        return float(value or DEFAULT_RETRY_AFTER_S)
-    except ValueError:
-        return DEFAULT_RETRY_AFTER_S
-
-
-def make_refusal(status: int, retry_after_s: float | None) -> messages.Response:
-    """Returns a rejection, with a Retry-After header if a time is given."""
-    if retry_after_s is None:
-        return messages.Response(status)
-    value = f"{retry_after_s:.2f}".encode()
-    return messages.Response(status, [(header_names.RETRY_AFTER, value)])
