Take no status above 599 in the earlier forwarder either

The same fault as in the platform's process, in edges/forwarding.py: statuses 600 and 999 were answers. The test failed for both before and passes; 000 and 099 were rejected before.

--- a/src/banyanshed/edges/forwarding.py
+++ b/src/banyanshed/edges/forwarding.py
@@ -33,6 +33,7 @@
 RAN_FIELD = RAN_HEADER.lower()
 LEAVING_FIELD = LEAVING_HEADER.lower()
 
+MAX_STATUS = 599
 MAX_IDLE_S = 20.0
 MAX_PROBE_BYTES = 4096
 
@@ -298,6 +299,8 @@
     if status < 200:
         # The final response to the same request is still to come.
         return "informational_answer"
+    if status > MAX_STATUS:
+        return "bad_status"
     echoed = fields.get(REQUEST_ID_FIELD)
     if echoed != [request.request_id] and (reused or echoed is not None):
         return "crossed"
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -204,6 +204,20 @@
             assert backend.connections == attempt + 1
 
 
+@pytest.mark.invariant("own-answer")
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+def test_a_status_that_is_no_final_response_is_rejected(forwarder, status):
+    def script(conn, headers, body, number):
+        head = f"HTTP/1.1 {status} Odd\r\nContent-Length: 2\r\n"
+        head += f"Banyanshed-Request-Id: {headers['banyanshed-request-id']}\r\n"
+        conn.sendall(f"{head}\r\nok".encode())
+
+    with Backend(script) as backend:
+        result = send(forwarder, backend, call())
+    assert isinstance(result, requests.AttemptFailure)
+    assert result.ran is models.Ran.UNKNOWN
+
+
 @pytest.mark.invariant("own-answer")
 def test_chunked_answer_over_the_limit_is_dropped(forwarder):
     def script(conn, headers, body, number):
