--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -90,17 +90,17 @@
         self.in_flight_for_peers = 0
         self.serving: set[asyncio.Task[Any]] = set()
         self.ends_at = math.inf
-        self.refuses_requests = False
+        self.admits_requests = True
         self.is_ending = False
         self.loop = asyncio.get_running_loop()
 
-    def begin_stop(self, ends_at: float) -> None:
-        """Sets when requests must have ended, as the host stops."""
+    def set_end(self, ends_at: float) -> None:
+        """Sets when the host ends; what takes longer is not sent any more."""
         self.ends_at = ends_at
 
-    def refuse_requests(self) -> None:
+    def stop_admitting(self) -> None:
         """Refuses all further requests of callers and peers."""
-        self.refuses_requests = True
+        self.admits_requests = False
 
     def end_requests(self) -> None:
         """Ends all requests at once; each gets a final response."""
@@ -121,7 +121,7 @@
         result = peer_forwarding.Result.UNAVAILABLE
         response = messages.Response(503)
         # A host that is cut off, too, does not pass it on once more.
-        is_able = not self.reachability.is_cut and not self.refuses_requests
+        is_able = self.admits_requests and not self.reachability.is_cut
         if attempts and is_able:
             progress = progress_lib.Progress(
                 request, attempts_left_by_peer=attempts
@@ -177,7 +177,7 @@
     async def _serve(
         self, progress: progress_lib.Progress
     ) -> messages.Response:
-        if self.refuses_requests:
+        if not self.admits_requests:
             return self._respond_to_stop(progress)
         is_for_peer = progress.attempts_left_by_peer is not None
         plan = self.router.plan(
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -43,10 +43,11 @@
 # Minimum interval of digests that report a customer's burst early.
 URGENT_DIGEST_INTERVAL_S = 0.2
 TICK_INTERVAL_S = 0.05
-# A longer time between two ticks means that the process stood still. What it
-# knew is outdated then, and reports that waited meanwhile tell too low an age;
-# they have been read after the second time.
+# A longer time between two ticks means that the process stood still, so that
+# its tables may be outdated.
 STALL_S = 0.5
+# Time after a stall in which the reports that waited meanwhile are read. They
+# tell an age that is too low.
 BACKLOG_S = 0.5
 CONTACTS_PER_DATAGRAM = 20
 
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -601,10 +601,10 @@
         self.gossip.send_heartbeat()
         self.listener.closing = True
         finish_at = stop_started_at + stop_s * FINISH_SHARE
-        self.forwarder.begin_stop(finish_at)
+        self.forwarder.set_end(finish_at)
         await asyncio.sleep(stop_s * ACCEPT_SHARE)
         self.server.close()
-        self.forwarder.refuse_requests()
+        self.forwarder.stop_admitting()
         await self._close_connections(finish_at)
         cut = len(self.forwarder.serving)
         self.forwarder.end_requests()
