Derive what a stopping host waits for, and verify pages in one place

- The count of requests in flight for peers was a second record of what the set of serving tasks says; the stop waits for that set.
Two setters of one line each were attributes.
- A feed and a copy from a peer built the same call from a page: now Mirror.verify_by_page.
- The endings of a request tell what a stop makes of it; a comment on statuses said less than the parser does.

--- a/src/banyanshed/gateway/clients.py
+++ b/src/banyanshed/gateway/clients.py
@@ -13,8 +13,7 @@
 
 MAX_RESPONSE_BYTES = 32 << 20
 MAX_HEADER_BYTES = 64 << 10
-# The parser itself rejects statuses below 100 and passes those from 100 on as
-# interim responses.
+# The parser rejects statuses below 100, but none above this one.
 MAX_STATUS = 599
 # Limit on responses skipped before the expected one: interim responses (1xx)
 # and responses to other requests.
--- a/src/banyanshed/gateway/feeds.py
+++ b/src/banyanshed/gateway/feeds.py
@@ -19,7 +19,6 @@
 from banyanshed.gateway import sources as sources_lib
 from banyanshed.platform import store as store_lib
 from banyanshed.platform import wire
-from banyanshed.steering import models
 from banyanshed.steering import waits as waits_lib
 
 RETRY_MIN_S = 0.2
@@ -103,7 +102,7 @@
         self.source = source
         if not source.is_store:
             mirror.set_follows_store(False)
-        self.sent_at = self.applier.clock()
+        self.sent_at = now
         was_known = not self.needs_full_read
         if self.needs_full_read:
             page = await self._read(source.tables.read_table(mirror.table))
@@ -137,7 +136,7 @@
             self.retry_s = RETRY_MIN_S
             self.lost_again = False
             changed = self.applier.merge(mirror, page)
-        self._verify(page)
+        mirror.verify_by_page(page, self.applier.clock())
         self._record_era(page.era)
         if changed or not self.applier.view.servers_known:
             max_age_s = self._waits().batch_delay_s
@@ -172,15 +171,6 @@
         """Returns when this host may no longer rely on a relay."""
         return self.mirror.verified_at + self._waits().max_unverified_s
 
-    def _verify(self, page: wire.Page) -> None:
-        """Records when the rows of a peer's page matched the store."""
-        if not isinstance(page, mirrors.PeerPage):
-            return
-        self.mirror.verify(
-            models.TableVersion(page.era, page.version),
-            self.applier.clock() - page.answer_age_s,
-        )
-
     def _wait_s(self, source: sources_lib.Source) -> float:
         """Returns how long the next call may wait for changes."""
         if not source.is_store:
--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -38,8 +38,6 @@
 _UNTRUSTED = frozenset(
     {conversion.Verdict.MISDIRECTED, conversion.Verdict.UNSIGNED}
 )
-
-
 _RESULTS = {
     progress_lib.Ending.ANSWERED: peer_forwarding.Result.ANSWERED,
     progress_lib.Ending.REJECTED: peer_forwarding.Result.NOT_RUN,
@@ -50,6 +48,11 @@
     """Forwards requests to the backend servers that the host chooses.
 
     All times are in seconds of the event loop's clock.
+
+    Attributes:
+        serving: Tasks that serve requests of callers and peers.
+        ends_at: When the host ends; what would take longer is not sent.
+        admits_requests: Whether new requests of callers and peers are served.
     """
 
     def __init__(
@@ -87,21 +90,12 @@
         self.crashes = crash_detector
         self.reachability = reachability
         self.peer_forwarder = peer_forwarder
-        self.in_flight_for_peers = 0
         self.serving: set[asyncio.Task[Any]] = set()
         self.ends_at = math.inf
         self.admits_requests = True
         self.is_ending = False
         self.loop = asyncio.get_running_loop()
 
-    def set_end(self, ends_at: float) -> None:
-        """Sets when the host ends; what takes longer is not sent any more."""
-        self.ends_at = ends_at
-
-    def stop_admitting(self) -> None:
-        """Refuses all further requests of callers and peers."""
-        self.admits_requests = False
-
     def end_requests(self) -> None:
         """Ends all requests at once; each gets a final response."""
         self.is_ending = True
@@ -126,11 +120,7 @@
             progress = progress_lib.Progress(
                 request, attempts_left_by_peer=attempts
             )
-            self.in_flight_for_peers += 1
-            try:
-                response = await self._run(progress)
-            finally:
-                self.in_flight_for_peers -= 1
+            response = await self._run(progress)
             assert progress.ending is not None
             result = _RESULTS.get(
                 progress.ending, peer_forwarding.Result.FAILED
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -601,10 +601,10 @@
         self.gossip.send_heartbeat()
         self.listener.closing = True
         finish_at = stop_started_at + stop_s * FINISH_SHARE
-        self.forwarder.set_end(finish_at)
+        self.forwarder.ends_at = finish_at
         await asyncio.sleep(stop_s * ACCEPT_SHARE)
         self.server.close()
-        self.forwarder.stop_admitting()
+        self.forwarder.admits_requests = False
         await self._close_connections(finish_at)
         cut = len(self.forwarder.serving)
         self.forwarder.end_requests()
@@ -613,7 +613,7 @@
 
     async def _close_connections(self, until: float) -> None:
         """Closes connections as they become idle, until none is left."""
-        while self.listener.connections or self.forwarder.in_flight_for_peers:
+        while self.listener.connections or self.forwarder.serving:
             for connection in list(self.listener.connections):
                 if connection.is_idle:
                     connection.close()
--- a/src/banyanshed/gateway/mirrors.py
+++ b/src/banyanshed/gateway/mirrors.py
@@ -100,6 +100,12 @@
         if version.era == self.era and version.number <= self.version:
             self.verified_at = max(self.verified_at, answered_at)
 
+    def verify_by_page(self, page: wire.Page, now: float) -> None:
+        """Records when the rows of a peer's page matched the store."""
+        if isinstance(page, PeerPage):
+            version = models.TableVersion(page.era, page.version)
+            self.verify(version, now - page.answer_age_s)
+
     def forget_answers(self) -> None:
         """Takes the rows as outdated until the store has answered again."""
         self.answered_at = -math.inf
--- a/src/banyanshed/gateway/progress.py
+++ b/src/banyanshed/gateway/progress.py
@@ -16,14 +16,13 @@
     Attributes:
         ANSWERED: A backend server's final response was returned.
         REJECTED: No backend server can have run the request. It was rejected
-            by routing, or no server was found, reached or ready to run it in
-            time.
+            by routing, no server was found, reached or ready to run it in
+            time, or the host stopped before it was sent.
         FAILED: A backend server may have run the request, but sent an error,
-            or its response was lost.
+            its response was lost, or the host stopped before it.
         TIMED_OUT: The time limit was reached after a backend server may have
             run the request; no server sent an error.
-        CLIENT_LEFT: The request was cancelled: the caller's connection ended,
-            or the host stopped.
+        CLIENT_LEFT: The request was cancelled: the caller's connection ended.
         BROKEN: An unexpected exception in this host.
     """
 
--- a/src/banyanshed/gateway/table_sync.py
+++ b/src/banyanshed/gateway/table_sync.py
@@ -243,8 +243,7 @@
         if page is None:
             return False
         changed = self.applier.replace(mirror, page)
-        copied = models.TableVersion(page.era, page.version)
-        mirror.verify(copied, self.loop.time() - page.answer_age_s)
+        mirror.verify_by_page(page, self.loop.time())
         logs.log_event(
             "table_copied",
             table=mirror.table,
