--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -19,6 +19,7 @@
 import sys
 import time
 import tomllib
+import traceback
 from urllib import parse
 
 import yaml
@@ -633,6 +634,11 @@
     """Plays a case and returns the exit code of the script."""
 
     async def run():
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        # The processes are ended before this one.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         deployment = Deployment(folder, case)
         try:
             broken, verdict = await play(deployment)
@@ -644,6 +650,7 @@
 
     try:
         return asyncio.run(run())
-    except (CannotRun, OSError) as error:
-        print(f"the case could not run: {error!r}")
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        print("the case could not run")
         return 2
