--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -571,10 +571,11 @@
                 .get("x-banyanshed-response-stamp", "")
                 .partition(".")[0]
             )
-        except (OSError, asyncio.IncompleteReadError):
-            request["ending"] = "closed"
         except TimeoutError:
+            # It is an OSError, too.
             request["ending"] = "gave_up"
+        except (OSError, asyncio.IncompleteReadError):
+            request["ending"] = "closed"
         request["ended_at"] = deployment.now()
         deployment.record(
             request["ending"],
