Review case 9: an entry with fields missing gets bookings

Cause: entries of servers without seq, coldLeft, born and version are decoded with defaults, and an unsigned 404 counts as a server's final answer.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A client that does not read for some seconds loses its answer."""
+"""An entry of another writer, with fields missing, gets callers' requests."""
 
 import asyncio
 import pathlib
@@ -8,65 +8,86 @@
 
 from review.harness2 import deployment as deployment_lib
 
-RUN_S = 30.0
-DEADLINE_MS = 10_000
-# Well below `idleTimeout` (15 s), the client's deadline and the timeout.
-PAUSE_S = 4.0
-CLIENTS = 8
-MAX_LOST = 3
-HOST = "front-1"
+RUN_S = 24.0
+ENTRY_AT_S = 6.0
+ENTRY_UNTIL_S = 18.0
+OTHER = "status-page"
+HOSTS = {"front-1": "z1", "front-2": "z2"}
+CLIENTS_PER_HOST = 10
+# The rule allows 5 + one in 500 of all requests.
+ALLOWED = 5
+ALLOWED_SHARE = 1.0 / 500.0
 
 
 def make_request(count):
-    """Returns a small request, and now and then one for a large answer."""
-    if count % 4:
-        return f"GET /lookup/{count % 7}", None, DEADLINE_MS
-    return f"GET /maps/{count}", None, DEADLINE_MS
+    """Returns a booking or a lookup."""
+    if count % 2:
+        return f"POST /booking/{count}", b"cart", 4000
+    return f"GET /lookup/{count % 11}", None, 4000
+
+
+async def write_entry(deployment):
+    """Writes the entry of another writer, and later removes it."""
+    await asyncio.sleep(ENTRY_AT_S)
+    if not deployment_lib.is_disrupted():
+        return
+    server = deployment.workers[OTHER]
+    info = {"backend": "board", "zone": "z1", "slots": 9}
+    # Without version, seq, coldLeft and born.
+    entry = {
+        "addr": server["addr"],
+        "info": info,
+        "status": {"state": "ready"},
+    }
+    deployment.record("entry_of_another_writer", entry=entry)
+    await deployment.store.put("servers", OTHER, entry)
+    await asyncio.sleep(ENTRY_UNTIL_S - ENTRY_AT_S)
+    await deployment.store.remove("servers", OTHER)
+    deployment.record("entry_removed")
 
 
 async def play(deployment):
     """Plays the case; returns whether the rule broke, and the verdict."""
     await deployment.start_store()
     routes = [
-        deployment_lib.route("lookup", "board", "safe", "10000ms"),
-        deployment_lib.route("maps", "board", "safe", "10000ms"),
+        deployment_lib.route("lookup", "board", "safe", "4000ms"),
+        deployment_lib.route("booking", "board", "unsafe", "4000ms"),
     ]
     await deployment.configure(7, routes, [deployment_lib.service("board")])
-    for number, zone in enumerate(deployment_lib.ZONES):
-        await deployment.add_worker(f"i-{number}", "board", zone, work_ms=100)
-    deployment.add_host(HOST, "z1")
+    for number in range(6):
+        zone = list(deployment_lib.ZONES)[number % 3]
+        await deployment.add_worker(f"i-{number}", "board", zone, work_ms=200)
+    await deployment.add_worker(OTHER, "none", "z1", "other")
+    await deployment.store.remove("servers", OTHER)
+    for host, zone in HOSTS.items():
+        deployment.add_host(host, zone)
     await deployment.wait_until_ready()
     deployment.started_at = time.monotonic()
     clients = [
-        deployment_lib.Client(deployment, HOST, number, make_request, 1.0)
-        for number in range(CLIENTS)
+        deployment_lib.Client(
+            deployment, host, f"{host}-{number}", make_request, 0.5
+        )
+        for host in HOSTS
+        for number in range(CLIENTS_PER_HOST)
     ]
-    for client in clients:
-        client.pause_s = PAUSE_S if deployment_lib.is_disrupted() else 0.0
-    await asyncio.gather(*(client.run(RUN_S) for client in clients))
-    run = {e["id"] for e in deployment.worker_events() if e["event"] == "run"}
+    await asyncio.gather(
+        write_entry(deployment), *(client.run(RUN_S) for client in clients)
+    )
     requests = [request for c in clients for request in c.requests]
-    maps = [r for r in requests if "/maps/" in r["line"]]
-    lost = [
-        request
-        for request in requests
-        if request["kept"]
-        and request["ending"] == "closed"
-        and request["id"] in run
-    ]
+    # Without a worker's stamp, the answer is the system's own.
+    denied = [r for r in requests if r["status"] == 404 and not r.get("worker")]
+    bookings = sum("/booking/" in r["line"] for r in denied)
+    asked = sum(e["event"] == "asked_other" for e in deployment.worker_events())
     verdict = [
-        "rule LOST: a machine in touch passes a request from a kept connection"
-        " on to a sound worker and closes that connection without an answer,"
-        " more than three times",
+        "rule DENIED: more than 5 + one in 500 of all requests are ended with a"
+        " 3xx or 4xx of your own though they are proper and every configuration"
+        " allows them, by machines in touch",
         f"requests {len(requests)}, served"
-        f" {sum(r['status'] == 200 for r in requests)}; for large answers"
-        f" {len(maps)}, served {sum(r['status'] == 200 for r in maps)}",
-        f"run by a sound worker, but the kept connection was closed before the"
-        f" answer was whole: {len(lost)}",
-        "seconds until the close: "
-        + ", ".join(f"{r['ended_at'] - r['sent_at']:.1f}" for r in lost[:8]),
+        f" {sum(r['status'] == 200 for r in requests)}; ended with 404 and no"
+        f" worker's stamp: {len(denied)}, bookings among them: {bookings}",
+        f"requests that reached the server that is no worker: {asked}",
     ]
-    broken = len(lost) > MAX_LOST
+    broken = len(denied) > ALLOWED + ALLOWED_SHARE * len(requests)
     verdict.append("BROKEN" if broken else "held")
     return broken, verdict
 
--- a/review/harness2/worker.py
+++ b/review/harness2/worker.py
@@ -10,6 +10,9 @@
     leaving: Answers say that the worker leaves (`Server-Leaving: 1`).
     busy: Requests are turned away with 503 and `Retry-After`.
 
+With `--fault other` it is no worker but some other server, which knows none of
+the paths that it is asked for.
+
 A request under /deadly/ ends the process a moment after it begins to run.
 """
 
@@ -82,6 +85,10 @@
         if path == "/healthz":
             write(writer, 200, [("X-Banyanshed-Instance-Id", self.id)], b"")
             return True
+        if self.fault == "other":
+            self.record(event="asked_other", id=id_, path=path)
+            write(writer, 404, [("Content-Type", "text/plain")], b"not found")
+            return True
         common = [
             ("X-Banyanshed-Request-Id", id_),
             ("X-Banyanshed-Response-Stamp", f"{self.id}.{id_}"),
