Heed a server's leaving on whatever way it is told

Cause: callers' bookings went to a server that had said in its responses that it leaves, and some were lost as it exited: hosts read what a server says of itself from its row only. A late row took a leaving back, too. Change: one record for each process of a server, steering/lifecycles.py, which rows, response headers and peers' reports enter; a leaving is never taken back within a process; rows of earlier processes and heartbeats are ignored. New last fields in heartbeats and digests.

--- a/src/banyanshed/gateway/appliers.py
+++ b/src/banyanshed/gateway/appliers.py
@@ -232,6 +232,18 @@
         state = known.registration.state if known is not None else None
         wall_ms = int(time.time() * 1000)
         new = self.view.put_server(entry, now, wall_ms)
+        current = self.view.servers.get(entry.id)
+        if current is None or current.registration is not entry:
+            logs.log_event(
+                "server_row_late",
+                server=entry.id,
+                state=entry.state.value,
+                started_ms=entry.started_ms,
+                sequence=entry.sequence,
+                row_version=row_version,
+                source=source,
+            )
+            return
         if new:
             self.forget_server(entry.id)
         if new or state is not entry.state:
--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -8,6 +8,7 @@
 from banyanshed.gateway import clients
 from banyanshed.gateway import conversion
 from banyanshed.gateway import crashes
+from banyanshed.gateway import lifecycles
 from banyanshed.gateway import limits as limits_lib
 from banyanshed.gateway import logs
 from banyanshed.gateway import messages
@@ -63,6 +64,7 @@
         connection_pools: pools.ConnectionPools,
         counters: metrics.Metrics,
         limits: limits_lib.LimitTracker,
+        lifecycle_tracker: lifecycles.LifecycleTracker,
         crash_detector: crashes.CrashDetector,
         reachability: reachability_lib.Reachability,
         peer_forwarder: peer_forwarding.PeerForwarder,
@@ -76,6 +78,7 @@
             connection_pools: Connections to backend servers.
             counters: Metrics to update.
             limits: Learns the limits that backend servers name.
+            lifecycle_tracker: Learns which servers leave.
             crash_detector: Examines requests that were lost.
             reachability: Whether the host reaches any server.
             peer_forwarder: Passes requests on to peers if it does not.
@@ -87,6 +90,7 @@
         self.connection_pools = connection_pools
         self.counters = counters
         self.limits = limits
+        self.lifecycles = lifecycle_tracker
         self.crashes = crash_detector
         self.reachability = reachability
         self.peer_forwarder = peer_forwarder
@@ -431,9 +435,7 @@
                 connection.abort()
             self.connection_pools.release(entry.id, connection)
             if verdict not in _UNTRUSTED:
-                self.limits.observe_response(
-                    entry, response.headers, self.loop.time()
-                )
+                self._learn(progress, entry, response)
             outcome = self._assess_response(progress, entry, verdict, response)
             if verdict in _ANSWERED:
                 self.crashes.record_answer(progress.fingerprint)
@@ -477,6 +479,20 @@
             )
         return None
 
+    def _learn(
+        self,
+        progress: progress_lib.Progress,
+        server: models.Registration,
+        response: messages.Response,
+    ) -> None:
+        """Learns what a server says of itself in a response."""
+        now = self.loop.time()
+        self.limits.observe_response(server, response.headers, now)
+        request_id = progress.request.find(header_names.REQUEST_ID) or b""
+        self.lifecycles.observe_response(
+            server, response.headers, request_id, now
+        )
+
     def _may_send(
         self,
         progress: progress_lib.Progress,
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -18,6 +18,7 @@
 
 from banyanshed.gateway import appliers
 from banyanshed.gateway import crashes
+from banyanshed.gateway import lifecycles
 from banyanshed.gateway import limits as limits_lib
 from banyanshed.gateway import logs
 from banyanshed.gateway import mirrors
@@ -64,6 +65,7 @@
         tables: dict[str, mirrors.Mirror],
         relays: relays_lib.Relays,
         limit_tracker: limits_lib.LimitTracker,
+        lifecycle_tracker: lifecycles.LifecycleTracker,
         crash_detector: crashes.CrashDetector,
         port: int,
         seeds: tuple[str, ...],
@@ -78,6 +80,7 @@
             tables: Mirrors by table name.
             relays: The relays of large fleets.
             limit_tracker: Learns the limits that backend servers name.
+            lifecycle_tracker: Learns which servers leave.
             crash_detector: Refuses requests that crash servers.
             port: Port of the traffic between hosts, the same on every host.
             seeds: Addresses of hosts that may know others.
@@ -88,6 +91,7 @@
         self.outliers = placing.health.outliers
         self.limit_tracker = limit_tracker
         self.limits = limit_tracker.limits
+        self.lifecycle_tracker = lifecycle_tracker
         self.crashes = crash_detector
         self.suspects = crash_detector.suspects
         self.relays = relays
@@ -263,6 +267,7 @@
             self.mirrors[wire.OPERATOR_TABLE].report(now),
             self.mirrors[wire.SERVER_TABLE].report(now),
             self.suspects.report(now),
+            self.lifecycle_tracker.report(),
             now,
         )
         datagram = peer_messages.encode_digest(
@@ -320,6 +325,9 @@
             peer_messages.encode_reports(operators, servers),
             peer_messages.encode_suspects(suspects),
             self.fleet.own_state is members.HostState.CUT,
+            peer_messages.encode_statements(
+                self.lifecycle_tracker.report(), self.applier.view.servers
+            ),
         )
 
     def _handle_heartbeat(
@@ -348,6 +356,8 @@
         self.outliers.set_peer_report(host.id, evidence, now)
         limits = self.server_index.decode_limits(heartbeat.limits)
         self.limit_tracker.apply_reports(limits, host.id, now)
+        statements = self.server_index.decode_statements(heartbeat.statements)
+        self.lifecycle_tracker.apply_reports(statements, host.id, now)
         self._apply_suspects(heartbeat.suspects)
         if heartbeat.demand is not None:
             demand = self.server_index.decode_demand(heartbeat.demand)
@@ -367,6 +377,9 @@
         self._verify_tables(summary.operators, summary.servers, now)
         self.relays.apply_summary(summary, self.applier.view.configuration, now)
         self.limit_tracker.apply_reports(summary.limits, summary.relay.id, now)
+        self.lifecycle_tracker.apply_reports(
+            summary.statements, summary.relay.id, now
+        )
         self._apply_suspects(digest.suspects)
         if summary.relay.ip != sender:
             return
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -24,6 +24,7 @@
 from banyanshed.gateway import feeds
 from banyanshed.gateway import forwarding
 from banyanshed.gateway import gossip as gossip_lib
+from banyanshed.gateway import lifecycles
 from banyanshed.gateway import limits as limits_lib
 from banyanshed.gateway import listeners
 from banyanshed.gateway import logs
@@ -139,6 +140,7 @@
         peer_forwarder: Passes requests on to peers.
         retries: Budget of retries.
         limit_tracker: Learns the limits that backend servers name.
+        lifecycle_tracker: Learns which servers leave.
         crash_detector: Refuses requests that crash backend servers.
         forwarder: Serves callers' requests.
         listener: State of the connections of callers.
@@ -186,6 +188,9 @@
         )
         limits = server_limits.ServerLimits(self.view)
         self.limit_tracker = limits_lib.LimitTracker(limits, self.counters)
+        self.lifecycle_tracker = lifecycles.LifecycleTracker(
+            self.view, self.counters
+        )
         throttle = throttling.ServerThrottle(
             settings.host,
             self.view,
@@ -232,6 +237,7 @@
             self.connection_pools,
             self.counters,
             self.limit_tracker,
+            self.lifecycle_tracker,
             self.crash_detector,
             self.reachability,
             self.peer_forwarder,
@@ -270,6 +276,7 @@
             self.mirrors,
             self.relays,
             self.limit_tracker,
+            self.lifecycle_tracker,
             self.crash_detector,
             settings.peer_port,
             settings.seeds,
@@ -419,6 +426,7 @@
             self.connection_pools.close_expired(now)
             self.peer_pools.close_expired(now)
             self.limit_tracker.drop_absent(now)
+            self.lifecycle_tracker.drop_absent(now)
             self.placing.throttle.drop_expired(now)
             self.crash_detector.judge()
             self.crash_detector.suspects.drop_expired(now)
@@ -578,6 +586,9 @@
                 id_: {
                     "service": server.registration.service,
                     "state": server.registration.state.value,
+                    "leaving": self.view.lifecycles.is_leaving(
+                        server.registration
+                    ),
                     "load": round(self.placing.load_of(server), 2),
                     "cold": self.view.is_cold(server, now),
                     "limit": self.limit_tracker.limits.rate(
--- a/src/banyanshed/gateway/metrics.py
+++ b/src/banyanshed/gateway/metrics.py
@@ -51,6 +51,13 @@
             registry=self.registry,
         )
 
+        self.statements = prometheus_client.Counter(
+            "banyanshed_server_statements",
+            "News that servers gave of their life cycle beside their rows.",
+            ("statement",),
+            registry=self.registry,
+        )
+
         self.server_endings = prometheus_client.Counter(
             "banyanshed_server_endings",
             "Requests lost with their connection, by whether the server ended.",
@@ -118,6 +125,10 @@
         """Counts a response that changed a backend server's rate limit."""
         self.server_limits.labels(change).inc()
 
+    def count_statement(self, statement: str) -> None:
+        """Counts news of a backend server's life cycle."""
+        self.statements.labels(statement).inc()
+
     def encode(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/banyanshed/gateway/peer_messages.py
+++ b/src/banyanshed/gateway/peer_messages.py
@@ -111,6 +111,13 @@
     claimed_by: str
 
 
+class EncodedStatement(msgspec.Struct, array_like=True, frozen=True):
+    """What a server's process, given by `hash_process`, says of itself."""
+
+    server: int
+    is_leaving: bool
+
+
 class EncodedReports(msgspec.Struct, array_like=True, frozen=True):
     """What a host reports of its tables, besides their versions.
 
@@ -148,6 +155,7 @@
     suspects: list[EncodedSuspect] = []
     # Whether the host, which is ready, reaches no backend server.
     is_cut: bool = False
+    statements: list[EncodedStatement] = []
 
 
 class Suspicions(msgspec.Struct, array_like=True, tag="s", frozen=True):
@@ -217,6 +225,7 @@
     suspects: list[EncodedSuspect] = []
     # Those of the ready hosts that reach no backend server.
     cut: list[int] = []
+    statements: list[EncodedStatement] = []
 
 
 _MESSAGE = msgspec.msgpack.Decoder(Heartbeat | Contacts | Digest | Suspicions)
@@ -291,6 +300,17 @@
             )
         return reports
 
+    def decode_statements(
+        self, entries: Sequence[EncodedStatement]
+    ) -> dict[models.ServerId, models.Statement]:
+        """Returns statements by server, without unknown processes."""
+        statements = {}
+        for entry in entries:
+            server = self.by_process.get(entry.server)
+            if server is not None:
+                statements[server] = models.Statement(entry.is_leaving)
+        return statements
+
     def decode_demand(
         self, entries: Sequence[EncodedDemand]
     ) -> dict[models.ServerId, float]:
@@ -320,6 +340,7 @@
             self.decode_limits(digest.limits),
             self.decode_demand(digest.demand),
             decode_suspects(digest.suspects),
+            self.decode_statements(digest.statements),
         )
 
 
@@ -487,6 +508,7 @@
             encode_reports(summary.operators, summary.servers),
             encode_suspects(summary.suspects),
             by_state[members.HostState.CUT],
+            encode_statements(summary.statements, servers),
         )
     )
 
@@ -537,6 +559,21 @@
     return entries
 
 
+def encode_statements(
+    statements: Mapping[models.ServerId, models.Statement],
+    servers: Mapping[models.ServerId, views.Server],
+) -> list[EncodedStatement]:
+    """Encodes what servers say of themselves, without those that are gone."""
+    entries = []
+    for id_, statement in statements.items():
+        server = servers.get(id_)
+        if server is None:
+            continue
+        process = hash_process(id_, server.registration.started_ms)
+        entries.append(EncodedStatement(process, statement.is_leaving))
+    return entries
+
+
 def encode_demand(
     demand: Mapping[models.ServerId, float],
 ) -> list[EncodedDemand]:
--- a/src/banyanshed/platform/headers.py
+++ b/src/banyanshed/platform/headers.py
@@ -28,6 +28,9 @@
 # Requests per second that a backend server takes from all hosts together, in
 # both spellings that the platform uses.
 SERVER_LIMITS = frozenset({b"x-banyanshed-server-limit", b"server-limit"})
+# Set to 1 by a backend server that leaves, in both spellings.
+SERVER_LEAVING = frozenset({b"x-banyanshed-server-leaving", b"server-leaving"})
+LEAVING = b"1"
 # In every response of the store: a number that rises when the store continues
 # from an older copy of its rows, whose versions it then gives out again.
 STORE_ERA = b"store-era"
@@ -70,6 +73,16 @@
     return ServerLimit(rate, malformed)
 
 
+def decode_statement(
+    headers: Sequence[tuple[bytes, bytes]],
+) -> models.Statement:
+    """Decodes what a backend server says of its life cycle in a response."""
+    is_leaving = False
+    for name, value in headers:
+        is_leaving |= name in SERVER_LEAVING and value.strip() == LEAVING
+    return models.Statement(is_leaving)
+
+
 def _decode_decimal(value: bytes) -> float | None:
     if _DECIMAL.fullmatch(value.strip()) is None:
         return None
--- a/src/banyanshed/platform/wire.py
+++ b/src/banyanshed/platform/wire.py
@@ -248,6 +248,7 @@
             models.ServerState(wire.status.state),
             cold_left_s,
             wire.born,
+            wire.status.seq,
         )
     except (*_DECODE_ERRORS, ValueError) as error:
         raise MalformedMessage(f"server {id_}: {error}") from error
--- a/src/banyanshed/steering/models.py
+++ b/src/banyanshed/steering/models.py
@@ -233,6 +233,7 @@
         state: State that it reports.
         cold_left_s: Seconds that it stays cold after the entry was written.
         started_ms: Unix time of its start in milliseconds; 0 if not known.
+        sequence: Number of the entry among those of the server's process.
     """
 
     id: ServerId
@@ -243,6 +244,18 @@
     state: ServerState
     cold_left_s: float
     started_ms: int
+    sequence: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """What a backend server says of its process.
+
+    Attributes:
+        is_leaving: Whether it says that it leaves.
+    """
+
+    is_leaving: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -54,6 +54,7 @@
         limits: Rate limits of servers known to the relay.
         demand: Requests per second of the region for servers with a limit.
         suspects: Requests that may crash servers, as known to the relay.
+        statements: What servers say of themselves beside their rows.
     """
 
     relay: members.Host
@@ -68,6 +69,7 @@
     limits: Mapping[models.ServerId, limits_lib.LimitReport]
     demand: Mapping[models.ServerId, float]
     suspects: Sequence[suspects_lib.SuspectReport]
+    statements: Mapping[models.ServerId, models.Statement]
 
 
 class Relays:
@@ -146,6 +148,7 @@
         operators: members.TableReport,
         servers: members.TableReport,
         suspects: Sequence[suspects_lib.SuspectReport],
+        statements: Mapping[models.ServerId, models.Statement],
         now: float,
     ) -> Summary:
         """Returns the summary that this host sends as a relay.
@@ -154,6 +157,7 @@
             operators: This host's copy of the configuration table.
             servers: This host's copy of the server table.
             suspects: Requests that may crash servers.
+            statements: What servers say of themselves beside their rows.
             now: Current time in seconds.
         """
         near = self.fleet.live_in_region(now)
@@ -181,6 +185,7 @@
             self.placing.throttle.limits.report_all(now),
             self.placing.throttle.region_report(ids, now),
             suspects,
+            statements,
         )
 
     def apply_summary(
--- a/src/banyanshed/steering/views.py
+++ b/src/banyanshed/steering/views.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from banyanshed.steering import lifecycles as lifecycles_lib
 from banyanshed.steering import models
 
 
@@ -38,6 +39,7 @@
         servers: Known servers by id.
         servers_known: Whether the table of the servers has been read.
         awaits_peers: Whether peers may know of rows that the store has lost.
+        lifecycles: What the servers say of their own life cycle.
         servers_version: Number of changes of the set of servers.
         by_service: Known servers by service.
     """
@@ -55,6 +57,7 @@
         self.servers: dict[models.ServerId, Server] = {}
         self.servers_known = False
         self.awaits_peers = False
+        self.lifecycles = lifecycles_lib.Lifecycles()
         self.servers_version = 0
         self.by_service: dict[models.ServiceName, list[Server]] = {}
 
@@ -116,6 +119,8 @@
             address or service differs.
         """
         known = self.servers.get(entry.id)
+        if not self.lifecycles.accept_row(entry, now):
+            return False
         cold_until = now + entry.cold_left_s
         same = (
             known is not None
@@ -128,9 +133,12 @@
                 cold_until, self._compute_cold_until(entry, now, wall_ms)
             )
         if known is not None and same:
+            known.missing_until = None
+            if entry.sequence < known.registration.sequence:
+                # The server wrote it earlier, and it came late.
+                return False
             known.registration = entry
             known.cold_until = cold_until
-            known.missing_until = None
             return False
         self.servers[entry.id] = Server(entry, cold_until, None)
         self._index()
@@ -175,11 +183,11 @@
         return dropped
 
     def accepts_requests(self, server: Server) -> bool:
-        """Returns whether a server is known, ready and not evacuated."""
+        """Returns whether a server is known, not leaving and not evacuated."""
         entry = server.registration
         if self.servers.get(entry.id) is not server:
             return False
-        if entry.state is not models.ServerState.READY:
+        if self.lifecycles.is_leaving(entry):
             return False
         return entry.zone not in self.evacuated_zones
 
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -163,7 +163,7 @@
         if index is None:
             return
         report = members.TableReport()
-        summary = sender.relays.summarize(report, report, (), self.now)
+        summary = sender.relays.summarize(report, report, (), {}, self.now)
         for partner in sender.relays.partners(index, self.now):
             receiver = self.hosts[int(partner.id[1:])]
             self.send(
--- /dev/null
+++ b/tests/test_lifecycles.py
@@ -0,0 +1,258 @@
+"""What servers say of their life cycle, by row, header or health response."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from banyanshed.gateway import peer_messages
+from banyanshed.platform import headers
+from banyanshed.steering import members
+from banyanshed.steering import models
+from banyanshed.steering import views
+from standins import store as store_lib
+from tests import gateway_fleet
+from tests import steering_cases as cases
+
+LEAVING = {"Server_Leaving": "1"}
+
+
+def leave(fleet, id_, status=200, **extra):
+    """Lets a server say in all its responses that it leaves."""
+
+    async def act(exchange):
+        exchange.respond(status, **LEAVING, **extra)
+
+    fleet.servers[id_].action = act
+
+
+async def call_any(fleet, number, path="/r/x", **fields):
+    """Calls for an object of its own, so that any server may be the owner."""
+    key = f"o{number}"
+    return await fleet.call(path, x_banyanshed_affinity_key=key, **fields)
+
+
+async def call_until_left(fleet, id_, host="h1"):
+    """Repeats calls until a host has a server's word that it leaves."""
+    view = fleet.hosts[host].view
+    entry = view.servers[id_].registration
+    async with asyncio.timeout(gateway_fleet.WAIT_TIMEOUT_S):
+        number = 0
+        while not view.lifecycles.is_leaving(entry):
+            number += 1
+            await call_any(fleet, number, name=host)
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("name", sorted(headers.SERVER_LEAVING))
+@pytest.mark.parametrize(
+    ("value", "is_leaving"),
+    [
+        (b"1", True),
+        (b" 1 ", True),
+        (b"0", False),
+        (b"", False),
+        (b"true", False),
+        (b"11", False),
+    ],
+)
+def test_a_leaving_is_read_in_both_spellings(name, value, is_leaving):
+    statement = headers.decode_statement([(name, value)])
+    assert statement.is_leaving is is_leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "extra"),
+    [
+        (200, {}),
+        (404, {}),
+        (500, {}),
+        (503, {"X_Banyanshed_Not_Executed": "1"}),
+    ],
+)
+@pytest.mark.parametrize("path", ["/r/x", "/u/x"])
+def test_a_host_without_the_store_heeds_a_leaving_in_any_response(
+    path, status, extra
+):
+    # Guards against requests to a server that leaves while the store is away.
+    async def scenario(fleet):
+        fleet.store.fault = store_lib.Fault.BUSY
+        leave(fleet, "i1", status, **extra)
+        await call_until_left(fleet, "i1")
+        before = len(fleet.servers["i1"].exchanges)
+        for number in range(20):
+            response = await call_any(fleet, number, path, method="POST")
+            assert response.status == 200
+        assert len(fleet.servers["i1"].exchanges) == before
+
+    gateway_fleet.run_scenario(scenario)
+
+
+def test_requests_at_a_server_that_leaves_end_in_peace():
+    async def scenario(fleet):
+        released = asyncio.Event()
+
+        async def wait(exchange):
+            await released.wait()
+            exchange.respond(**LEAVING)
+
+        for id_ in ("i1", "i2"):
+            fleet.servers[id_].action = wait
+        calls = [asyncio.ensure_future(fleet.call()) for _ in range(3)]
+        await fleet.wait_until(
+            lambda: len(gateway_fleet.all_exchanges(fleet)) == 3
+        )
+        released.set()
+        assert [r.status for r in await asyncio.gather(*calls)] == [200] * 3
+
+    gateway_fleet.run_scenario(scenario)
+
+
+def test_without_another_server_requests_are_rejected_at_once():
+    async def scenario(fleet):
+        leave(fleet, "i1")
+        await call_until_left(fleet, "i1")
+        response = await fleet.call()
+        assert response.status == 503
+        assert float(response.find(headers.RETRY_AFTER)) > 0.0
+
+    gateway_fleet.run_scenario(scenario, servers=("i1",))
+
+
+def test_peers_learn_of_a_leaving():
+    async def scenario(fleet):
+        leave(fleet, "i1")
+        await call_until_left(fleet, "i1")
+        view = fleet.hosts["h2"].view
+        entry = view.servers["i1"].registration
+        await fleet.wait_until(lambda: view.lifecycles.is_leaving(entry))
+        before = len(fleet.servers["i1"].exchanges)
+        for number in range(10):
+            response = await call_any(fleet, number, name="h2")
+            assert response.status == 200
+        assert len(fleet.servers["i1"].exchanges) == before
+
+    gateway_fleet.run_scenario(scenario, hosts=2)
+
+
+def test_a_row_takes_no_leaving_back_but_a_new_process_is_used():
+    async def scenario(fleet):
+        leave(fleet, "i1")
+        await call_until_left(fleet, "i1")
+        host = fleet.hosts["h1"]
+        await fleet.register("i1", seq=9)
+        await fleet.wait_until(
+            lambda: host.view.servers["i1"].registration.sequence == 9
+        )
+        assert not host.view.accepts_requests(host.view.servers["i1"])
+        server = fleet.servers["i1"]
+        ip, port = server.address
+        await fleet.store.put(
+            "servers",
+            "i1",
+            {
+                "addr": f"{ip}:{port}",
+                "info": {"backend": "s", "zone": "a1", "slots": 4},
+                "status": {"state": "ready", "seq": 1, "coldLeft": "0ms"},
+                "born": 2000,
+            },
+        )
+        await fleet.wait_until(
+            lambda: host.view.accepts_requests(host.view.servers["i1"])
+        )
+
+    gateway_fleet.run_scenario(scenario)
+
+
+def make_row(started_ms, sequence, state=models.ServerState.READY):
+    return cases.make_entry(
+        "i1", "a2", state=state, started_ms=started_ms, sequence=sequence
+    )
+
+
+DRAINING = models.ServerState.DRAINING
+
+
+@pytest.mark.parametrize(
+    ("rows", "is_accepted"),
+    [
+        # A heartbeat that was written before the leaving comes after it.
+        ([make_row(5, 6, DRAINING), make_row(5, 3)], False),
+        ([make_row(5, 6, DRAINING), make_row(5, 7)], False),
+        # The row of an earlier process comes after that of a newer one.
+        ([make_row(5, 3), make_row(9, 1, DRAINING), make_row(5, 4)], False),
+        ([make_row(5, 3, DRAINING), make_row(9, 1), make_row(5, 4)], True),
+        ([make_row(5, 3, DRAINING), make_row(9, 1)], True),
+        # The clock of the server's machine went back between two starts.
+        ([make_row(9, 3, DRAINING), make_row(5, 1)], True),
+    ],
+)
+def test_a_late_row_takes_no_leaving_back(rows, is_accepted):
+    view = views.View(dict(cases.ZONES))
+    for row in rows:
+        view.put_server(row, 1.0, 10**6)
+    assert view.accepts_requests(view.servers["i1"]) is is_accepted
+
+
+def test_a_leaving_outlasts_a_missing_entry():
+    view = views.View(dict(cases.ZONES))
+    view.put_server(make_row(5, 6, DRAINING), 1.0, 10**6)
+    assert view.drop_server("i1", 2.0, keep_until=2.0)
+    view.lifecycles.drop_absent(view.servers, 10.0)
+    view.put_server(make_row(5, 7), 11.0, 10**6)
+    assert not view.accepts_requests(view.servers["i1"])
+    view.drop_server("i1", 12.0, keep_until=12.0)
+    view.lifecycles.drop_absent(view.servers, 100.0)
+    assert not view.lifecycles.processes
+
+
+def test_hosts_report_what_rows_do_not_say():
+    view = cases.make_view(2)
+    entries = [server.registration for server in view.servers.values()]
+    statement = models.Statement(True)
+    assert view.lifecycles.record(entries[0], statement, 1.0)
+    assert not view.lifecycles.record(entries[0], statement, 2.0)
+    assert view.lifecycles.report(entries) == {"i0": statement}
+    row = cases.make_entry("i0", state=DRAINING)
+    view.put_server(row, 3.0, 10**6)
+    assert view.lifecycles.report([row, entries[1]]) == {}
+
+
+def make_heartbeat(**fields):
+    host = peer_messages.EncodedHost("h1", "10.0.0.1", "a1", 1)
+    return peer_messages.Heartbeat(
+        host, members.HostState.READY, 1, 1, [], [], [], [], **fields
+    )
+
+
+def make_digest(**fields):
+    relay = peer_messages.EncodedHost("h1", "10.0.0.1", "a1", 1)
+    return peer_messages.Digest(
+        relay, 1, 1, [], [], [], [], [], [], [], [], **fields
+    )
+
+
+@pytest.mark.parametrize("make", [make_heartbeat, make_digest])
+def test_statements_are_the_last_field_and_may_be_missing(make):
+    statements = [peer_messages.EncodedStatement(7, True)]
+    message = make(statements=statements)
+    data = peer_messages.encode(message)
+    assert peer_messages.decode(data) == message
+    fields = msgspec.msgpack.decode(data)
+    assert fields[-1][0][:2] == [7, True]
+    earlier = peer_messages.decode(msgspec.msgpack.encode(fields[:-1]))
+    assert earlier == make()
+    later = peer_messages.decode(msgspec.msgpack.encode([*fields, "new"]))
+    assert later == message
+
+
+def test_only_known_processes_of_servers_are_read():
+    view = cases.make_view(2)
+    statements = {"i0": models.Statement(True)}
+    encoded = peer_messages.encode_statements(statements, view.servers)
+    index = peer_messages.ServerIndex()
+    index.update(view.servers, view.servers_version)
+    assert index.decode_statements(encoded) == statements
+    view.put_server(cases.make_entry("i0", started_ms=2000), 1.0, 10**6)
+    index.update(view.servers, view.servers_version)
+    assert index.decode_statements(encoded) == {}
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -100,7 +100,7 @@
         if own_index is None:
             return
         summary = sender.relays.summarize(
-            members.TableReport(), members.TableReport(), (), now
+            members.TableReport(), members.TableReport(), (), {}, now
         )
         for partner in sender.relays.partners(own_index, now):
             self.sent_between_regions += 1
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -221,6 +221,10 @@
     assert set(index.decode_limits(encoded)) == {"i1"}
 
 
+# Position of the limits in an encoded heartbeat, after its tag.
+LIMITS = 9
+
+
 def test_reports_out_of_range_are_skipped_and_old_messages_understood():
     view, encoded, _ = make_reports()
     index = peer_messages.ServerIndex()
@@ -233,8 +237,8 @@
     )
     assert peer_messages.decode(peer_messages.encode(heartbeat)) == heartbeat
     fields = msgspec.msgpack.decode(peer_messages.encode(heartbeat))
-    old = peer_messages.decode(msgspec.msgpack.encode(fields[:-5]))
+    old = peer_messages.decode(msgspec.msgpack.encode(fields[:LIMITS]))
     assert old.limits == [] and old.demand is None
     with pytest.raises(msgspec.MsgspecError):
-        fields[-5] = [[process, "fast", 0]]
+        fields[LIMITS] = [[process, "fast", 0]]
         peer_messages.decode(msgspec.msgpack.encode(fields))
