Learn from refusals and health responses that a server is cold

Cause: callers' requests crowded at a server that had restarted under its id while the store was away, at three times what a cold one bears: hosts learned only from rows that a server is cold. A host that was cut off divided a cold server's rate by the hosts that it heard, so that each took the part of many. Change: a server that refused connections is taken to be cold until its row or a health response says otherwise; while a host's rows may be outdated, hosts ask servers once a second, divided among those that hear each other, and tell their peers. Silent hosts keep their places among the senders to a cold server.

--- a/src/banyanshed/gateway/crashes.py
+++ b/src/banyanshed/gateway/crashes.py
@@ -59,6 +59,8 @@
         announce: Tells peers at once what is new; set by the host.
         reaches_servers: Returns whether the host reaches any server but the
             given one; set by the host.
+        record_refusal: Called with a server whose process has ended; set by
+            the host.
     """
 
     def __init__(
@@ -81,6 +83,8 @@
         self.announce: Callable[[], None] = lambda: None
         self.reaches_servers: Callable[[models.ServerId], Awaitable[bool]]
         self.reaches_servers = _assume_reached
+        self.record_refusal: Callable[[models.Registration], None]
+        self.record_refusal = lambda server: None
         self.checks: dict[models.ServerId, asyncio.Task[Finding]] = {}
         self.examinations: set[asyncio.Task[None]] = set()
         self.is_announcing = False
@@ -189,6 +193,7 @@
         )
         if finding is not Finding.ENDED:
             return
+        self.record_refusal(server)
         process = peer_messages.hash_process(server.id, server.started_ms)
         now = self.loop.time()
         self._apply(self.suspects.record_ending(fingerprint, process, now))
--- a/src/banyanshed/gateway/cuts.py
+++ b/src/banyanshed/gateway/cuts.py
@@ -95,6 +95,7 @@
             checked=[server.registration.id for server in servers],
         )
         self.health.reset_observations(now)
+        self.view.lifecycles.forget_refusals()
         self.fleet.set_cut(not reached)
         if not reached:
             self.connection_pools.drop_all()
--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -78,7 +78,7 @@
             connection_pools: Connections to backend servers.
             counters: Metrics to update.
             limits: Learns the limits that backend servers name.
-            lifecycle_tracker: Learns which servers leave.
+            lifecycle_tracker: Learns which servers leave or are cold.
             crash_detector: Examines requests that were lost.
             reachability: Whether the host reaches any server.
             peer_forwarder: Passes requests on to peers if it does not.
@@ -489,9 +489,7 @@
         now = self.loop.time()
         self.limits.observe_response(server, response.headers, now)
         request_id = progress.request.find(header_names.REQUEST_ID) or b""
-        self.lifecycles.observe_response(
-            server, response.headers, request_id, now
-        )
+        self.lifecycles.observe_response(server, response.headers, request_id)
 
     def _may_send(
         self,
@@ -584,6 +582,7 @@
         self.counters.count_attempt(plan.service, outcome)
         if avoided:
             self.connection_pools.drop(server.id)
+            self.lifecycles.record_refusal(server)
             logs.log_event(
                 "server_unreachable",
                 server=server.id,
--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -80,7 +80,7 @@
             tables: Mirrors by table name.
             relays: The relays of large fleets.
             limit_tracker: Learns the limits that backend servers name.
-            lifecycle_tracker: Learns which servers leave.
+            lifecycle_tracker: Learns which servers leave or are cold.
             crash_detector: Refuses requests that crash servers.
             port: Port of the traffic between hosts, the same on every host.
             seeds: Addresses of hosts that may know others.
@@ -357,7 +357,7 @@
         limits = self.server_index.decode_limits(heartbeat.limits)
         self.limit_tracker.apply_reports(limits, host.id, now)
         statements = self.server_index.decode_statements(heartbeat.statements)
-        self.lifecycle_tracker.apply_reports(statements, host.id, now)
+        self.lifecycle_tracker.apply_reports(statements, host.id)
         self._apply_suspects(heartbeat.suspects)
         if heartbeat.demand is not None:
             demand = self.server_index.decode_demand(heartbeat.demand)
@@ -378,7 +378,7 @@
         self.relays.apply_summary(summary, self.applier.view.configuration, now)
         self.limit_tracker.apply_reports(summary.limits, summary.relay.id, now)
         self.lifecycle_tracker.apply_reports(
-            summary.statements, summary.relay.id, now
+            summary.statements, summary.relay.id
         )
         self._apply_suspects(digest.suspects)
         if summary.relay.ip != sender:
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -24,6 +24,7 @@
 from banyanshed.gateway import feeds
 from banyanshed.gateway import forwarding
 from banyanshed.gateway import gossip as gossip_lib
+from banyanshed.gateway import health_checks
 from banyanshed.gateway import lifecycles
 from banyanshed.gateway import limits as limits_lib
 from banyanshed.gateway import listeners
@@ -42,6 +43,7 @@
 from banyanshed.steering import budgets
 from banyanshed.steering import cold
 from banyanshed.steering import health
+from banyanshed.steering import health_checks as health_checks_lib
 from banyanshed.steering import limits as server_limits
 from banyanshed.steering import members
 from banyanshed.steering import models
@@ -136,11 +138,12 @@
         connection_pools: Connections to backend servers.
         reachability: Whether the host reaches any server.
         cut_detector: Checks that while it is in doubt.
+        health_checker: Asks servers for what their rows may not say.
         peer_pools: Connections to peers for requests that are passed on.
         peer_forwarder: Passes requests on to peers.
         retries: Budget of retries.
         limit_tracker: Learns the limits that backend servers name.
-        lifecycle_tracker: Learns which servers leave.
+        lifecycle_tracker: Learns which servers leave or are cold.
         crash_detector: Refuses requests that crash backend servers.
         forwarder: Serves callers' requests.
         listener: State of the connections of callers.
@@ -184,7 +187,9 @@
             self.fleet, settings.quota_tolerance, random.random, clock()
         )
         cold_limiter = cold.ColdRateLimiter(
-            settings.host, self.view, lambda: self.fleet.live_ids(clock())
+            settings.host,
+            self.view,
+            lambda: self.fleet.sharing_hosts(clock()),
         )
         limits = server_limits.ServerLimits(self.view)
         self.limit_tracker = limits_lib.LimitTracker(limits, self.counters)
@@ -242,6 +247,9 @@
             self.reachability,
             self.peer_forwarder,
         )
+        self.crash_detector.record_refusal = (
+            self.lifecycle_tracker.record_refusal
+        )
         self.crash_detector.reaches_servers = self.cut_detector.reaches_servers
         self.listener = listeners.Listener(
             self.forwarder.serve,
@@ -261,6 +269,18 @@
             table: mirrors.Mirror(table)
             for table in (wire.OPERATOR_TABLE, wire.SERVER_TABLE)
         }
+        self.health_checker = health_checks.HealthChecker(
+            health_checks_lib.HealthChecks(
+                settings.host,
+                self.view,
+                self.health,
+                lambda: self.fleet.live_ids(clock()),
+            ),
+            self.lifecycle_tracker,
+            self.connection_pools,
+            self.reachability,
+            self._has_outdated_servers,
+        )
         self.store = store_lib.StoreClient(
             lambda: clients.HttpClient(
                 settings.store, self.waits.connect_timeout_s
@@ -331,6 +351,7 @@
             self._spawn(feed.run(), stack)
         self._spawn(self.table_sync.run(), stack)
         self._spawn(self.cut_detector.run(), stack)
+        self._spawn(self.health_checker.run(), stack)
         self._spawn(self._announce(), stack)
         self._spawn(self._run_housekeeping(), stack)
         self._spawn(self._watch_settings(), stack)
@@ -426,7 +447,7 @@
             self.connection_pools.close_expired(now)
             self.peer_pools.close_expired(now)
             self.limit_tracker.drop_absent(now)
-            self.lifecycle_tracker.drop_absent(now)
+            self.lifecycle_tracker.drop_absent()
             self.placing.throttle.drop_expired(now)
             self.crash_detector.judge()
             self.crash_detector.suspects.drop_expired(now)
@@ -510,9 +531,16 @@
 
     def _forget_server(self, server: models.ServerId) -> None:
         self.health.forget(server)
+        self.health_checker.checks.forget(server)
         self.placing.saturation.forget(server)
         self.connection_pools.drop(server)
 
+    def _has_outdated_servers(self) -> bool:
+        """Returns whether the rows of the servers may be outdated."""
+        verified_at = self.mirrors[wire.SERVER_TABLE].verified_at
+        max_age_s = self.waits.server_table.max_unverified_s
+        return self.loop.time() - verified_at > max_age_s
+
     def _record_connected(self) -> None:
         self.reachability.record_connected(self.loop.time())
 
--- a/src/banyanshed/gateway/peer_messages.py
+++ b/src/banyanshed/gateway/peer_messages.py
@@ -112,10 +112,14 @@
 
 
 class EncodedStatement(msgspec.Struct, array_like=True, frozen=True):
-    """What a server's process, given by `hash_process`, says of itself."""
+    """What a server's process, given by `hash_process`, says of itself.
+
+    The time for which it stays cold is in milliseconds.
+    """
 
     server: int
     is_leaving: bool
+    cold_ms: int = 0
 
 
 class EncodedReports(msgspec.Struct, array_like=True, frozen=True):
@@ -308,7 +312,9 @@
         for entry in entries:
             server = self.by_process.get(entry.server)
             if server is not None:
-                statements[server] = models.Statement(entry.is_leaving)
+                statements[server] = models.Statement(
+                    entry.is_leaving, max(0, entry.cold_ms) / 1000.0
+                )
         return statements
 
     def decode_demand(
@@ -570,7 +576,8 @@
         if server is None:
             continue
         process = hash_process(id_, server.registration.started_ms)
-        entries.append(EncodedStatement(process, statement.is_leaving))
+        cold_ms = round((statement.cold_left_s or 0.0) * 1000.0)
+        entries.append(EncodedStatement(process, statement.is_leaving, cold_ms))
     return entries
 
 
--- a/src/banyanshed/platform/durations.py
+++ b/src/banyanshed/platform/durations.py
@@ -1,5 +1,8 @@
 """Durations in the platform's notation: a number with the unit ms or s."""
 
+# Longest time for which a backend server is taken to be cold, in seconds.
+MAX_COLD_S = 86_400.0
+
 
 def decode(text: str) -> float:
     """Decodes a duration such as "1500ms" or "2.5s" into seconds.
--- a/src/banyanshed/platform/headers.py
+++ b/src/banyanshed/platform/headers.py
@@ -8,6 +8,7 @@
 import math
 import re
 
+from banyanshed.platform import durations
 from banyanshed.steering import models
 
 REQUEST_ID = b"x-banyanshed-request-id"
@@ -31,6 +32,10 @@
 # Set to 1 by a backend server that leaves, in both spellings.
 SERVER_LEAVING = frozenset({b"x-banyanshed-server-leaving", b"server-leaving"})
 LEAVING = b"1"
+# In health responses: id of the backend server, and the milliseconds for which
+# it stays cold.
+SERVER_ID = b"x-banyanshed-instance-id"
+COLD_MS = b"x-banyanshed-cold-ms"
 # In every response of the store: a number that rises when the store continues
 # from an older copy of its rows, whose versions it then gives out again.
 STORE_ERA = b"store-era"
@@ -78,9 +83,15 @@
 ) -> models.Statement:
     """Decodes what a backend server says of its life cycle in a response."""
     is_leaving = False
+    cold_left_s = None
     for name, value in headers:
         is_leaving |= name in SERVER_LEAVING and value.strip() == LEAVING
-    return models.Statement(is_leaving)
+        if name != COLD_MS:
+            continue
+        cold_ms = _decode_decimal(value)
+        if cold_ms is not None and cold_ms <= durations.MAX_COLD_S * 1000.0:
+            cold_left_s = max(cold_left_s or 0.0, cold_ms / 1000.0)
+    return models.Statement(is_leaving, cold_left_s)
 
 
 def _decode_decimal(value: bytes) -> float | None:
--- a/src/banyanshed/platform/wire.py
+++ b/src/banyanshed/platform/wire.py
@@ -23,7 +23,6 @@
 
 # Limits on numbers in the entries of backend servers.
 MAX_SLOTS = 1_000_000
-MAX_COLD_S = 86_400.0
 _Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 # What the decoder raises for other than well-formed messages; nested ones may
 # exceed the interpreter's stack.
@@ -110,6 +109,7 @@
 
 class _WireService(msgspec.Struct):
     name: str
+    healthPath: str = ""  # noqa: N815
     cold: str = "0s"
     # Requests per second that a cold server can handle.
     coldPerS: float = 0.0  # noqa: N815
@@ -237,7 +237,7 @@
     try:
         wire = _SERVER.decode(value)
         cold_left_s = durations.decode(wire.status.coldLeft)
-        if cold_left_s > MAX_COLD_S:
+        if cold_left_s > durations.MAX_COLD_S:
             raise ValueError(f"cold for {wire.status.coldLeft}")
         return models.Registration(
             models.ServerId(id_),
@@ -327,6 +327,7 @@
         durations.decode(wire.cold),
         wire.coldPerS,
         wire.maxConns,
+        wire.healthPath if wire.healthPath.startswith("/") else "",
     )
 
 
--- a/src/banyanshed/steering/cold.py
+++ b/src/banyanshed/steering/cold.py
@@ -1,11 +1,12 @@
 """Slow start: limits the request rate to cold backend servers.
 
-Hosts divide a server's rate without coordination: only the first few live
-hosts in the server's rendezvous order send to it, each at an equal part of
-the rate.
+Hosts divide a server's rate without coordination: only the first few hosts in
+the server's rendezvous order send to it, each at an equal part of the rate. A
+host that fell silent keeps its place for as long as messages are sent to it: it
+may be cut off from its peers only, and go on sending.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable
 
 from banyanshed.steering import models
 from banyanshed.steering import rendezvous
@@ -24,18 +25,18 @@
         self,
         host: models.HostId,
         view: views.View,
-        live_hosts: Callable[[], Sequence[models.HostId]],
+        sharing_hosts: Callable[[], Iterable[models.HostId]],
     ):
         """Sets up the limiter without any buckets.
 
         Args:
             host: Id of this host.
             view: Configuration and servers known to this host.
-            live_hosts: Returns the ids of the live hosts.
+            sharing_hosts: Returns the ids of the hosts that may send.
         """
         self.host = host
         self.view = view
-        self.live_hosts = live_hosts
+        self.sharing_hosts = sharing_hosts
         self.buckets: dict[models.ServerId, tuple[float, float]] = {}
 
     def admit(self, server: views.Server, now: float) -> bool:
@@ -49,7 +50,7 @@
             return False
         senders = max(1, min(MAX_SENDERS, int(service.cold_rate / 2.0)))
         if not rendezvous.is_among_first(
-            entry.id, self.host, self.live_hosts(), senders
+            entry.id, self.host, self.sharing_hosts(), senders
         ):
             return False
         tokens, at = self.buckets.get(entry.id, (1.0, now))
--- a/src/banyanshed/steering/health.py
+++ b/src/banyanshed/steering/health.py
@@ -230,6 +230,21 @@
             record.on_probation = False
             record.answered_at = now
 
+    def is_used(
+        self, server: models.ServerId, since: float, now: float
+    ) -> bool:
+        """Returns whether a server has, or had lately, a request of this host.
+
+        Args:
+            server: The server.
+            since: Earliest time of a response that counts.
+            now: Current time in seconds.
+        """
+        record = self.records.get(server)
+        if record is None:
+            return False
+        return bool(record.in_flight) or since <= record.answered_at <= now
+
     def in_flight(self, server: models.ServerId) -> int:
         """Returns the number of this host's attempts in flight at a server."""
         record = self.records.get(server)
--- a/src/banyanshed/steering/lifecycles.py
+++ b/src/banyanshed/steering/lifecycles.py
@@ -1,13 +1,19 @@
 """What backend servers say of their own life cycle.
 
-A server that leaves says so in its row, in the headers of its responses, or in
-both, and hosts tell each other. All of it is kept here for each process of a
-server. Within one process a leaving is never taken back: a later statement to
-the contrary was made earlier and came late.
+A server that leaves, or is cold, says so in its row, in the headers of its
+responses or in its health responses, and hosts tell each other. All of it is
+kept here for each process of a server. Within one process a leaving is never
+taken back: a later statement to the contrary was made earlier and came late. Of
+several times for which it stays cold the longest counts.
+
+A server that refused connections may have been restarted. Until it or its row
+says otherwise, it is taken to be cold from the moment at which it is reached.
 """
 
 from collections.abc import Iterable, Mapping
 import dataclasses
+import enum
+import math
 
 from banyanshed.steering import models
 
@@ -17,6 +23,21 @@
 # Statements of a server without an entry are kept for this long. Entries lapse
 # when servers can't reach the store, and come back.
 ABSENT_SERVER_S = 60.0
+# A report must prolong the time for which a server is cold by more than this:
+# otherwise the delays of reports that hosts pass on would add up.
+COLD_MARGIN_S = 0.5
+
+
+class News(enum.Enum):
+    """What a statement tells that was not known.
+
+    Attributes:
+        LEAVING: The server leaves.
+        COLD: The server is cold.
+    """
+
+    LEAVING = "leaving"
+    COLD = "cold"
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,12 +48,17 @@
         started_ms: Unix time of its start in milliseconds.
         heard_at: When something was last heard of it.
         is_leaving: Whether it leaves.
+        cold_until: Until when it is cold by what it said beside its row.
+        presumed_until: Until when it is taken to be cold after it refused
+            connections; infinite until it was reached again.
         former: Starts of earlier processes, oldest first.
     """
 
     started_ms: int
     heard_at: float
     is_leaving: bool = False
+    cold_until: float = -math.inf
+    presumed_until: float = -math.inf
     former: tuple[int, ...] = ()
 
 
@@ -71,39 +97,106 @@
         entry: models.Registration,
         statement: models.Statement,
         now: float,
-    ) -> bool:
+    ) -> list[News]:
         """Records a statement of a server's process, by itself or by a peer.
 
         Returns:
-            Whether it was news.
+            What was not known.
         """
         known = self._find(entry)
         if known is None:
-            return False
+            return []
         known.heard_at = now
-        is_news = statement.is_leaving and not known.is_leaving
-        known.is_leaving |= statement.is_leaving
-        return is_news
+        news = []
+        if statement.is_leaving and not known.is_leaving:
+            known.is_leaving = True
+            news.append(News.LEAVING)
+        cold_until = now + (statement.cold_left_s or 0.0)
+        if cold_until > max(now, known.cold_until + COLD_MARGIN_S):
+            if now >= known.cold_until:
+                news.append(News.COLD)
+            known.cold_until = cold_until
+        return news
+
+    def record_health(
+        self,
+        entry: models.Registration,
+        statement: models.Statement,
+        now: float,
+    ) -> list[News]:
+        """Records a server's health response, which ends a presumption."""
+        known = self._find(entry)
+        if known is not None:
+            known.presumed_until = -math.inf
+        return self.record(entry, statement, now)
+
+    def record_refusal(self, entry: models.Registration) -> bool:
+        """Records that a server refused connections, and may be restarted.
+
+        Returns:
+            Whether it was reached before.
+        """
+        known = self._find(entry)
+        if known is None or known.presumed_until == math.inf:
+            return False
+        known.presumed_until = math.inf
+        return True
+
+    def record_reached(
+        self, entry: models.Registration, cold_s: float, now: float
+    ) -> None:
+        """Records that a server accepts connections.
+
+        Args:
+            entry: Entry of the server.
+            cold_s: Seconds that a server of its service is cold after a start.
+            now: Current time in seconds.
+        """
+        known = self._find(entry)
+        if known is not None and known.presumed_until == math.inf:
+            known.presumed_until = now + cold_s
+
+    def forget_refusals(self) -> None:
+        """Drops the presumptions: this host's own links had failed."""
+        for known in self.processes.values():
+            known.presumed_until = -math.inf
 
     def is_leaving(self, entry: models.Registration) -> bool:
         """Returns whether a server's process has said that it leaves."""
         known = self._find(entry)
         return known is not None and known.is_leaving
 
+    def is_cold(self, entry: models.Registration, now: float) -> bool:
+        """Returns whether a server is cold by more than its row."""
+        known = self._find(entry)
+        if known is None:
+            return False
+        return now < max(known.cold_until, known.presumed_until)
+
+    def is_presumed_cold(self, entry: models.Registration, now: float) -> bool:
+        """Returns whether a server is only taken to be cold."""
+        known = self._find(entry)
+        return known is not None and now < known.presumed_until
+
     def report(
-        self, entries: Iterable[models.Registration]
+        self, entries: Iterable[models.Registration], now: float
     ) -> dict[models.ServerId, models.Statement]:
         """Returns what peers may not know, as the servers' rows don't say it.
 
         Args:
             entries: The servers' newest entries.
+            now: Current time in seconds.
         """
         report = {}
         for entry in entries:
-            if entry.state is not models.ServerState.READY:
+            known = self._find(entry)
+            if known is None:
                 continue
-            if self.is_leaving(entry):
-                report[entry.id] = models.Statement(True)
+            is_ready = entry.state is models.ServerState.READY
+            is_leaving = known.is_leaving and is_ready
+            cold_left_s = max(0.0, known.cold_until - now)
+            if is_leaving or cold_left_s > 0.0:
+                report[entry.id] = models.Statement(is_leaving, cold_left_s)
         return report
 
     def drop_absent(
--- a/src/banyanshed/steering/models.py
+++ b/src/banyanshed/steering/models.py
@@ -108,12 +108,14 @@
         cold_s: Seconds that a server stays cold after its start.
         cold_rate: Requests per second that a cold server can take.
         max_connections: Connections that a server accepts from all callers.
+        health_path: Path of the servers' health checks; empty without them.
     """
 
     name: ServiceName
     cold_s: float = 0.0
     cold_rate: float = 0.0
     max_connections: int = 0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -253,9 +255,11 @@
 
     Attributes:
         is_leaving: Whether it says that it leaves.
+        cold_left_s: Seconds that it stays cold; None if it doesn't say.
     """
 
     is_leaving: bool
+    cold_left_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/banyanshed/steering/views.py
+++ b/src/banyanshed/steering/views.py
@@ -195,19 +195,28 @@
         """Returns the region of a server; None if its zone is unknown."""
         return self.zones.get(server.registration.zone)
 
+    def service_of(self, server: Server) -> models.Service | None:
+        """Returns the service of a server; None if it is not configured."""
+        if self.configuration is None:
+            return None
+        return self.configuration.services.get(server.registration.service)
+
     def is_cold(self, server: Server, now: float) -> bool:
         """Returns whether a server is cold, so that its rate is limited.
 
-        Servers are cold after their start, and after an evacuation of their
-        zone ended.
+        Servers are cold after their start, after an evacuation of their zone
+        ended, and when they or peers say so.
         """
         if now < server.cold_until:
             return True
-        returned = self.evacuation_ended_at.get(server.registration.zone)
-        if returned is None or self.configuration is None:
+        entry = server.registration
+        service = self.service_of(server)
+        if service is None or service.cold_s <= 0.0:
             return False
-        service = self.configuration.services.get(server.registration.service)
-        return service is not None and now < returned + service.cold_s
+        if self.lifecycles.is_cold(entry, now):
+            return True
+        returned = self.evacuation_ended_at.get(entry.zone)
+        return returned is not None and now < returned + service.cold_s
 
     def _compute_cold_until(
         self, entry: models.Registration, now: float, wall_ms: int
--- a/tests/test_lifecycles.py
+++ b/tests/test_lifecycles.py
@@ -7,6 +7,7 @@
 
 from banyanshed.gateway import peer_messages
 from banyanshed.platform import headers
+from banyanshed.steering import lifecycles
 from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import views
@@ -210,12 +211,14 @@
     view = cases.make_view(2)
     entries = [server.registration for server in view.servers.values()]
     statement = models.Statement(True)
-    assert view.lifecycles.record(entries[0], statement, 1.0)
+    news = view.lifecycles.record(entries[0], statement, 1.0)
+    assert news == [lifecycles.News.LEAVING]
     assert not view.lifecycles.record(entries[0], statement, 2.0)
-    assert view.lifecycles.report(entries) == {"i0": statement}
+    reported = models.Statement(True, 0.0)
+    assert view.lifecycles.report(entries, 2.0) == {"i0": reported}
     row = cases.make_entry("i0", state=DRAINING)
     view.put_server(row, 3.0, 10**6)
-    assert view.lifecycles.report([row, entries[1]]) == {}
+    assert view.lifecycles.report([row, entries[1]], 3.0) == {}
 
 
 def make_heartbeat(**fields):
@@ -234,7 +237,7 @@
 
 @pytest.mark.parametrize("make", [make_heartbeat, make_digest])
 def test_statements_are_the_last_field_and_may_be_missing(make):
-    statements = [peer_messages.EncodedStatement(7, True)]
+    statements = [peer_messages.EncodedStatement(7, True, 250)]
     message = make(statements=statements)
     data = peer_messages.encode(message)
     assert peer_messages.decode(data) == message
@@ -248,7 +251,7 @@
 
 def test_only_known_processes_of_servers_are_read():
     view = cases.make_view(2)
-    statements = {"i0": models.Statement(True)}
+    statements = {"i0": models.Statement(True, 1.5)}
     encoded = peer_messages.encode_statements(statements, view.servers)
     index = peer_messages.ServerIndex()
     index.update(view.servers, view.servers_version)
