Divide the parsing of many small pieces into turns of the event loop

Cause: callers got their responses seconds after the route's timeout beside one server whose response came in one-byte chunks: a host parsed all that a read had returned, 43,000 chunks, about 0.7 s, before its event loop ran again.

--- a/src/banyanshed/gateway/clients.py
+++ b/src/banyanshed/gateway/clients.py
@@ -9,6 +9,7 @@
 from banyanshed import exceptions
 from banyanshed.gateway import memory
 from banyanshed.gateway import messages
+from banyanshed.gateway import turns as turns_lib
 from banyanshed.steering import models
 
 MAX_RESPONSE_BYTES = 32 << 20
@@ -73,6 +74,7 @@
         self.response_memory = response_memory
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
+        self.turns = turns_lib.Turns(self._read_turn)
         self.http = self._new_http()
         self.idle_since = self.loop.time()
         self.idle_limit_s: float | None = None
@@ -143,6 +145,7 @@
         """Stores the transport and enables detection of dead peers."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.turns.transport = transport
         self.is_open = True
         enable_dead_peer_detection(transport.get_extra_info("socket"))
 
@@ -153,14 +156,14 @@
             self.abort()
             return
         self.http.receive_data(data)
-        self._read_events()
+        self.turns.read()
 
     def eof_received(self) -> bool:
         """Handles EOF, which may be the end of the response."""
         self.is_open = False
         if self.waiter is not None and not self.waiter.done():
             self.http.receive_data(b"")
-            self._read_events()
+            self.turns.read()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -168,8 +171,11 @@
         self.is_open = False
         self._fail(ConnectionLost(f"connection lost: {exc or 'closed'}"))
 
-    def _read_events(self) -> None:
-        while self.waiter is not None and not self.waiter.done():
+    def _read_turn(self) -> bool:
+        """Parses for one turn; returns whether more may be left to parse."""
+        for _ in range(turns_lib.EVENTS_PER_TURN):
+            if self.waiter is None or self.waiter.done():
+                return False
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
@@ -177,16 +183,16 @@
                 kind = ResponseLost if self.is_open else ConnectionLost
                 self._fail(kind(f"malformed response: {error}"))
                 self.abort()
-                return
+                return False
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+                return False
             if isinstance(event, h11.InformationalResponse):
                 self._count_skipped_response()
                 continue
             if isinstance(event, h11.Response):
                 if event.status_code > MAX_STATUS:
                     self.terminate(f"malformed status {event.status_code}")
-                    return
+                    return False
                 self.response = event
                 self._drop_body()
                 continue
@@ -200,7 +206,8 @@
                 self._fail(
                     ConnectionLost("connection closed before the response")
                 )
-                return
+                return False
+        return True
 
     def _buffer_body(self, data: bytes) -> None:
         self.body += data
--- a/src/banyanshed/gateway/listeners.py
+++ b/src/banyanshed/gateway/listeners.py
@@ -11,6 +11,7 @@
 from banyanshed.gateway import logs
 from banyanshed.gateway import memory
 from banyanshed.gateway import messages
+from banyanshed.gateway import turns as turns_lib
 from banyanshed.steering import models
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
@@ -62,6 +63,7 @@
         self.listener = listener
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
+        self.turns = turns_lib.Turns(self._read_turn)
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=listener.limits.header_bytes
         )
@@ -85,6 +87,7 @@
         """Registers the connection; enables detection of a dead remote end."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.turns.transport = transport
         self.listener.connections.add(self)
         clients.enable_dead_peer_detection(transport.get_extra_info("socket"))
 
@@ -99,7 +102,7 @@
             return
         if self.receiving_since is None:
             self.receiving_since = self.loop.time()
-        self._read_events()
+        self.turns.read()
 
     def eof_received(self) -> bool:
         """Cancels the request being served: the caller no longer waits."""
@@ -122,7 +125,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         if self.task is None:
-            self._read_events()
+            self.turns.read()
 
     def terminate(self, reason: str) -> None:
         """Aborts the connection of a caller that does not read its response."""
@@ -167,31 +170,41 @@
         if now - self.receiving_since > limits.idle_timeout_s:
             self._reject(408)
 
-    def _read_events(self) -> None:
+    def _read_turn(self) -> bool:
+        """Parses for one turn; returns whether more may be left to parse."""
         if self.receiving_since is None and self.http.trailing_data[0]:
             self.receiving_since = self.loop.time()
-        while self.task is None:
+        for _ in range(turns_lib.EVENTS_PER_TURN):
+            if not self._may_parse():
+                return False
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
                 self._reject(error.error_status_hint or 400)
-                return
+                return False
             if event is h11.NEED_DATA:
                 self._send_continue()
-                return
+                return False
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 self.close()
-                return
+                return False
             if isinstance(event, h11.Request):
                 self.head = event
                 self.head_at = self.loop.time()
                 continue
             if isinstance(event, h11.Data):
                 if not self._buffer_body(event.data):
-                    return
+                    return False
                 continue
             if isinstance(event, h11.EndOfMessage):
                 self._start()
+        return True
+
+    def _may_parse(self) -> bool:
+        """Returns whether the next request may be parsed now."""
+        if self.task is not None or self.rejected:
+            return False
+        return self.transport is not None and not self.transport.is_closing()
 
     def _send_continue(self) -> None:
         if self.http.they_are_waiting_for_100_continue:
@@ -238,7 +251,7 @@
             return
         self.http.start_next_cycle()
         if self.unread_since is None:
-            self._read_events()
+            self.turns.read()
 
     def _send(self, response: messages.Response) -> None:
         headers = list(response.headers)
