Cap what a cut-off side sends to a server that may have turned cold

Cause: hosts that were cut off from the store and from the others sent a server their usual load, and more in a burst, for the second or more until a health check could tell them that it had turned cold: 23 to 29 requests in a second, 19.2 allowed. A check waits for a slot like a request, so that it is late just when the load is high. Change: while a host's rows may be outdated and other hosts are silent, the hosts that hear each other keep a server to what the platform tolerates beyond the cold rate, divided by demand with the mechanism that keeps Server-Limit. Bounds coldExcess and coldSlack come from the settings. Health checks: the division among hosts is computed once for each set of hosts and servers, and a path that can't stand in a request line is none.

--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -175,9 +175,7 @@
         pairs = self.placing.warmth.take_unsent(warmth.Audience.ALL)
         usages = peer_messages.encode_usages(self.quotas.report(now))
         limits = self.limits.report(now)
-        demand = peer_messages.encode_demand(
-            self.placing.throttle.report_demand(now)
-        )
+        demand = peer_messages.encode_demand(self.placing.report_demand(now))
         heartbeat = self._make_heartbeat(
             usages, pairs, limits, demand, self.suspects.report(now)
         )
@@ -361,7 +359,7 @@
         self._apply_suspects(heartbeat.suspects)
         if heartbeat.demand is not None:
             demand = self.server_index.decode_demand(heartbeat.demand)
-            self.placing.throttle.set_peer_demand(host.id, demand, now)
+            self.placing.set_peer_demand(host.id, demand, now)
         self.placing.warmth.add_pairs(
             heartbeat.warm, now, forward=is_in_own_region
         )
--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -48,6 +48,7 @@
 from banyanshed.steering import members
 from banyanshed.steering import models
 from banyanshed.steering import outliers
+from banyanshed.steering import partitions
 from banyanshed.steering import placement
 from banyanshed.steering import quotas
 from banyanshed.steering import reachability
@@ -132,6 +133,7 @@
         view: Configuration and backend servers in force.
         health: Health of backend servers as observed by this host.
         quotas: Rate limits of customers.
+        caps: Limits all servers while this host is partitioned.
         placing: Chooses backend servers.
         router: Finds the route, the service and the customer of a request.
         response_memory: Limits the memory of buffered responses.
@@ -202,6 +204,16 @@
             limits,
             lambda: self.fleet.sharing_hosts(clock()),
         )
+        self.caps = partitions.PartitionCaps(
+            self.view, settings.cold_tolerance, self._find_silent_share
+        )
+        caps = throttling.ServerThrottle(
+            settings.host,
+            self.view,
+            self.caps,
+            lambda: self.fleet.live_regions(clock()),
+            saved=partitions.SAVED_REQUESTS,
+        )
         self.placing = placement.Placement(
             settings.region,
             self.view,
@@ -210,6 +222,7 @@
             warmth.Warmth(),
             throttle,
             random.random,
+            caps,
         )
         self.router = routing.Router(self.view, self.quotas, random.random)
         self.response_memory = memory.ResponseMemory(
@@ -287,7 +300,9 @@
             ),
             self.waits.call_timeout_s,
         )
-        self.relays = relays.Relays(self.fleet, self.quotas, self.placing)
+        self.relays = relays.Relays(
+            self.fleet, self.quotas, self.placing, limits
+        )
         self.gossip = gossip_lib.Gossip(
             self.fleet,
             self.quotas,
@@ -449,6 +464,8 @@
             self.limit_tracker.drop_absent(now)
             self.lifecycle_tracker.drop_absent()
             self.placing.throttle.drop_expired(now)
+            self.placing.caps.drop_expired(now)
+            self._update_caps()
             self.crash_detector.judge()
             self.crash_detector.suspects.drop_expired(now)
             self._update_state()
@@ -535,6 +552,21 @@
         self.placing.saturation.forget(server)
         self.connection_pools.drop(server)
 
+    def _update_caps(self) -> None:
+        """Limits all servers while this host is partitioned."""
+        if self.caps.update():
+            logs.log_event(
+                "servers_capped" if self.caps.silent_share else "caps_ended",
+                silent_share=round(self.caps.silent_share, 3),
+                servers_version=self.mirrors[wire.SERVER_TABLE].version,
+            )
+
+    def _find_silent_share(self) -> float:
+        """Returns the share of silent hosts while rows may be outdated."""
+        if not self._has_outdated_servers():
+            return 0.0
+        return 1.0 - self.fleet.heard_share(self.loop.time())
+
     def _has_outdated_servers(self) -> bool:
         """Returns whether the rows of the servers may be outdated."""
         verified_at = self.mirrors[wire.SERVER_TABLE].verified_at
--- a/src/banyanshed/platform/settings.py
+++ b/src/banyanshed/platform/settings.py
@@ -56,6 +56,8 @@
             answer of the directory, in seconds.
         retries: Budget of retries over all hosts.
         quota_tolerance: Tolerated excess over customers' limits.
+        cold_tolerance: Tolerated excess over the rate of cold servers; None if
+            the platform sets none.
     """
 
     host: models.HostId
@@ -76,6 +78,7 @@
     directory_ttl_max_s: float
     retries: budgets.RetryLimits
     quota_tolerance: models.QuotaTolerance = models.QuotaTolerance()
+    cold_tolerance: models.ColdTolerance | None = None
 
 
 def decode_address(text: Any) -> models.Address:
@@ -142,6 +145,7 @@
                 or 1.0,
             ),
             "quota_tolerance": self._decode_tolerance(bounds),
+            "cold_tolerance": self._decode_cold_tolerance(bounds),
         }
         if self.findings:
             raise exceptions.InvalidSettings(self.findings)
@@ -202,6 +206,17 @@
             self._read_bound(bounds, "quotaSlack", float) or 0.0,
         )
 
+    def _decode_cold_tolerance(
+        self, bounds: dict[str, str]
+    ) -> models.ColdTolerance | None:
+        """Decodes the tolerated excess over the rate of cold servers."""
+        if "coldExcess" not in bounds:
+            return None
+        return models.ColdTolerance(
+            self._read_bound(bounds, "coldExcess", float) or 1.0,
+            self._read_bound(bounds, "coldSlack", float) or 0.0,
+        )
+
     def _add_finding(self, place: str, code: str, message: str) -> None:
         self.findings.append(exceptions.Finding(place, code, message))
 
--- a/src/banyanshed/platform/wire.py
+++ b/src/banyanshed/platform/wire.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 import dataclasses
 import functools
+import re
 from typing import Annotated, Any
 
 import msgspec
@@ -163,6 +164,8 @@
     born: _Counter = 0
 
 
+# A path that can stand in a request line.
+_PATH = re.compile("/[!-~]*")
 _PAGE = msgspec.json.Decoder(_WirePage)
 _CONFIGURATION = msgspec.json.Decoder(_WireConfiguration)
 _SERVER = msgspec.json.Decoder(_WireServer)
@@ -327,7 +330,7 @@
         durations.decode(wire.cold),
         wire.coldPerS,
         wire.maxConns,
-        wire.healthPath if wire.healthPath.startswith("/") else "",
+        wire.healthPath if _PATH.fullmatch(wire.healthPath) else "",
     )
 
 
--- a/src/banyanshed/steering/health_checks.py
+++ b/src/banyanshed/steering/health_checks.py
@@ -48,6 +48,8 @@
         self.health = health
         self.live_hosts = live_hosts
         self.checked_at: dict[models.ServerId, float] = {}
+        self.assigned: set[models.ServerId] = set()
+        self.assigned_for: tuple[frozenset[models.HostId], int] | None = None
 
     def take_due(self, is_outdated: bool, now: float) -> list[views.Server]:
         """Returns the servers to check now, which count as checked.
@@ -56,11 +58,19 @@
             is_outdated: Whether this host's copy of the rows may be outdated.
             now: Current time in seconds.
         """
-        live = self.live_hosts() if is_outdated else ()
+        is_alone = False
+        if is_outdated:
+            live = frozenset(self.live_hosts())
+            is_alone = len(live) == 1
+            self._assign(live)
         due = []
         for server in self.view.servers.values():
             id_ = server.registration.id
-            interval_s = self._interval_s(server, live, now)
+            is_assigned = is_outdated and id_ in self.assigned
+            if is_assigned and is_alone:
+                since = now - OUTDATED_INTERVAL_S
+                is_assigned = self.health.is_used(id_, since, now)
+            interval_s = self._interval_s(server, is_assigned, now)
             checked_at = self.checked_at.get(id_, float("-inf"))
             if interval_s is None or now - checked_at < interval_s:
                 continue
@@ -72,24 +82,27 @@
         """Drops what is known of a server that is gone or was restarted."""
         self.checked_at.pop(server, None)
 
+    def _assign(self, live: frozenset[models.HostId]) -> None:
+        """Determines the servers that this host checks among the live hosts."""
+        basis = (live, self.view.servers_version)
+        if basis == self.assigned_for:
+            return
+        self.assigned_for = basis
+        self.assigned = {
+            id_
+            for id_ in self.view.servers
+            if rendezvous.is_among_first(
+                f"health {id_}", self.host, live, CHECKING_HOSTS
+            )
+        }
+
     def _interval_s(
-        self, server: views.Server, live: Sequence[models.HostId], now: float
+        self, server: views.Server, is_assigned: bool, now: float
     ) -> float | None:
         """Returns the interval of a server's checks; None if there are none."""
-        entry = server.registration
         if not self.view.accepts_requests(server):
             return None
+        entry = server.registration
         if self.view.lifecycles.is_presumed_cold(entry, now):
             return UNREACHED_INTERVAL_S
-        if not live:
-            return None
-        if len(live) == 1:
-            is_used = self.health.is_used(
-                entry.id, now - OUTDATED_INTERVAL_S, now
-            )
-            return OUTDATED_INTERVAL_S if is_used else None
-        key = f"health {entry.id}"
-        is_checker = rendezvous.is_among_first(
-            key, self.host, live, CHECKING_HOSTS
-        )
-        return OUTDATED_INTERVAL_S if is_checker else None
+        return OUTDATED_INTERVAL_S if is_assigned else None
--- a/src/banyanshed/steering/members.py
+++ b/src/banyanshed/steering/members.py
@@ -209,6 +209,17 @@
         ids.append(self.own.id)
         return ids
 
+    def live_regions(
+        self, now: float
+    ) -> dict[models.HostId, models.RegionName]:
+        """Returns the live hosts, including this one, with their regions."""
+        hosts = {self.own.id: self.own_region}
+        for member in self.live(now):
+            region = self.zones.get(member.host.zone)
+            if region is not None:
+                hosts[member.host.id] = region
+        return hosts
+
     def set_cut(self, is_cut: bool) -> bool:
         """Sets whether this host reaches no server; returns if it changed.
 
--- a/src/banyanshed/steering/models.py
+++ b/src/banyanshed/steering/models.py
@@ -172,6 +172,19 @@
     slack: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdTolerance:
+    """By how much the requests to a cold server may exceed its rate.
+
+    Attributes:
+        excess: Factor by which the rate may be exceeded in a second.
+        slack: Tolerated number of requests in addition.
+    """
+
+    excess: float
+    slack: float
+
+
 class Configuration:
     """One version of routes, services, customers and limits."""
 
--- a/src/banyanshed/steering/placement.py
+++ b/src/banyanshed/steering/placement.py
@@ -161,6 +161,7 @@
         warmth: warmth_lib.Warmth,
         throttle: throttling.ServerThrottle,
         random: Callable[[], float],
+        caps: throttling.ServerThrottle | None = None,
     ):
         """Sets up the placement without any reports of peers.
 
@@ -172,6 +173,8 @@
             warmth: Warm objects and expected service times.
             throttle: Rate limit for servers that name one.
             random: Returns random numbers from 0 up to 1.
+            caps: Rate limit for all servers while this host is partitioned;
+                None without one.
         """
         self.region = region
         self.view = view
@@ -179,6 +182,7 @@
         self.cold_limiter = cold_limiter
         self.warmth = warmth
         self.throttle = throttle
+        self.caps = caps or throttling.make_unlimited(view)
         self.random = random
         self.peer_in_flight: dict[
             models.HostId, dict[models.ServerId, int]
@@ -246,9 +250,42 @@
         server = choice.server
         return self.throttle.is_valid(server, choice.token_taken_at, now)
 
+    def report_demand(self, now: float) -> dict[models.ServerId, float]:
+        """Returns this host's demand for servers with a limit, for peers."""
+        demand = self.caps.report_demand(now)
+        return demand | self.throttle.report_demand(now)
+
+    def region_demand(
+        self, hosts: Collection[models.HostId], now: float
+    ) -> dict[models.ServerId, float]:
+        """Returns the demand of this host and the given peers together."""
+        demand = self.caps.region_report(hosts, now)
+        return demand | self.throttle.region_report(hosts, now)
+
+    def set_peer_demand(
+        self,
+        host: models.HostId,
+        rates: Mapping[models.ServerId, float],
+        now: float,
+    ) -> None:
+        """Replaces the demand that a peer reported."""
+        self.throttle.set_peer_demand(host, rates, now)
+        self.caps.set_peer_demand(host, rates, now)
+
+    def set_region_demand(
+        self,
+        region: models.RegionName,
+        rates: Mapping[models.ServerId, float],
+        now: float,
+    ) -> None:
+        """Replaces the demand that a relay reported for its region."""
+        self.throttle.set_region_demand(region, rates, now)
+        self.caps.set_region_demand(region, rates, now)
+
     def _accept(self, choice: Choice, found: _Found, now: float) -> Choice:
         """Takes a token of the chosen server's limit, if it has one."""
         taken = self.throttle.take(choice.server, now)
+        self.caps.take(choice.server, now)
         skipped = tuple(server.registration.id for server in found.limited)
         if not taken and not skipped:
             return choice
@@ -267,7 +304,7 @@
         if found.limited:
             # The first ones have no token; later ones may only be unsuitable.
             wait_s = min(
-                self.throttle.retry_after_s(server, now)
+                self._limited_s(server, now)
                 for server in found.limited[:MAX_LIMITED_SKIPS]
             )
             wait_s = _clamp_retry_after(wait_s)
@@ -275,6 +312,23 @@
         reason = "servers_cold" if found.cold else "no_server"
         return Rejection(reason, MAX_RETRY_AFTER_S / 4.0, inputs)
 
+    def _has_tokens(
+        self, server: views.Server, found: _Found, now: float
+    ) -> bool:
+        """Returns whether this host may send a request to a server now."""
+        # Caps limit all servers: only the first in an object's order is wanted.
+        is_first = not found.limited and not found.choices
+        if not self.caps.has_token(server, now, counts=is_first):
+            return False
+        return self.throttle.has_token(server, now)
+
+    def _limited_s(self, server: views.Server, now: float) -> float:
+        """Returns the seconds until this host may send to a server."""
+        return max(
+            self.throttle.retry_after_s(server, now),
+            self.caps.retry_after_s(server, now),
+        )
+
     def _update_health(self, now: float) -> None:
         self.health.count_slow_attempts(now)
         self.health.outliers.update_ejections(self.view.by_service, now)
@@ -326,7 +380,7 @@
                 break
             if not self._may_serve(server, request, now):
                 continue
-            if not self.throttle.has_token(server, now):
+            if not self._has_tokens(server, found, now):
                 found.limited.append(server)
                 continue
             if self.view.is_cold(server, now):
--- a/src/banyanshed/steering/relays.py
+++ b/src/banyanshed/steering/relays.py
@@ -83,6 +83,7 @@
         fleet: members.Members,
         quotas: quotas_lib.Quotas,
         placing: placement.Placement,
+        server_limits: limits_lib.ServerLimits,
     ):
         """Sets up the relays.
 
@@ -90,10 +91,12 @@
             fleet: Hosts known to this host.
             quotas: Rate limits of the customers.
             placing: Placement, with the load and health of the servers.
+            server_limits: Limits that servers name.
         """
         self.fleet = fleet
         self.quotas = quotas
         self.placing = placing
+        self.server_limits = server_limits
         self.main_relays: dict[
             models.RegionName, tuple[models.HostId, float]
         ] = {}
@@ -182,8 +185,8 @@
             in_flight,
             self.placing.warmth.take_unsent(warmth.Audience.FAR),
             self.placing.health.outliers.aggregate_report(ids, now),
-            self.placing.throttle.limits.report_all(now),
-            self.placing.throttle.region_report(ids, now),
+            self.server_limits.report_all(now),
+            self.placing.region_demand(ids, now),
             suspects,
             statements,
         )
@@ -205,7 +208,7 @@
         self.placing.health.outliers.set_peer_report(
             region_peer_id, summary.evidence, now
         )
-        self.placing.throttle.set_region_demand(region, summary.demand, now)
+        self.placing.set_region_demand(region, summary.demand, now)
         if not self._update_main_relay(region, summary.relay.id, now):
             return
         if configuration is not None:
--- a/src/banyanshed/steering/throttling.py
+++ b/src/banyanshed/steering/throttling.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 import dataclasses
 import math
+from typing import Protocol
 
-from banyanshed.steering import limits as limits_lib
 from banyanshed.steering import locality
 from banyanshed.steering import models
 from banyanshed.steering import rendezvous
@@ -48,6 +48,13 @@
 MAX_PAUSE_S = 1.0
 
 
+class Rates(Protocol):
+    """Interface of what limits the rates of servers."""
+
+    def rate(self, server: models.Registration) -> float | None:
+        """Returns a server's limit in requests per second; None if none."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PeerDemand:
     """The demand that a peer, or all hosts of a region, last reported.
@@ -71,6 +78,7 @@
         checked_at: When `rate` was determined.
         tokens: Requests that it may send at `refilled_at`.
         refilled_at: When `tokens` was computed.
+        saved: Requests that it may save, whatever its rate.
         wanted: Decaying count of requests that the server could have got from
             this host, at `wanted_at`.
         wanted_at: When a request was last counted.
@@ -83,6 +91,7 @@
     checked_at: float
     tokens: float
     refilled_at: float
+    saved: float = 0.0
     wanted: float = 0.0
     wanted_at: float = 0.0
     reported: float = 0.0
@@ -112,7 +121,7 @@
     def drop_excess(self) -> None:
         """Drops tokens beyond those that the rate lets this host save."""
         depth = max(1.0, self.rate * BURST_S) if self.rate > 0.0 else 0.0
-        self.tokens = min(depth, self.tokens)
+        self.tokens = min(max(depth, self.saved), self.tokens)
 
 
 class ServerThrottle:
@@ -125,22 +134,26 @@
         self,
         host: models.HostId,
         view: views.View,
-        limits: limits_lib.ServerLimits,
+        limits: Rates,
         sharing_hosts: Callable[[], Mapping[models.HostId, models.RegionName]],
+        saved: float = 0.0,
     ):
         """Sets up the throttle without any buckets.
 
         Args:
             host: Id of this host.
             view: Servers known to this host.
-            limits: Limits known to this host.
+            limits: Limits of the servers as known to this host.
             sharing_hosts: Returns the hosts that divide the limits, with their
                 regions. This host is not among them if it must not send.
+            saved: Requests that this host may send at once, also when a limit
+                begins. Without any, others may have sent requests just before.
         """
         self.host = host
         self.view = view
         self.limits = limits
         self.sharing_hosts = sharing_hosts
+        self.saved = saved
         self.buckets: dict[models.ServerId, _Bucket] = {}
         self.hosts: Mapping[models.HostId, models.RegionName] = {}
         self.hosts_at = float("-inf")
@@ -162,8 +175,16 @@
             self.buckets.clear()
         self.ran_at = now
 
-    def has_token(self, server: views.Server, now: float) -> bool:
-        """Returns whether this host may send a request to a server now."""
+    def has_token(
+        self, server: views.Server, now: float, counts: bool = True
+    ) -> bool:
+        """Returns whether this host may send a request to a server now.
+
+        Args:
+            server: The server.
+            now: Current time in seconds.
+            counts: Whether a request without a token counts as demand.
+        """
         entry = server.registration
         limit = self.limits.rate(entry)
         if limit is None:
@@ -171,7 +192,8 @@
             return True
         bucket = self._refill(entry, limit, now)
         if bucket.tokens < 1.0:
-            bucket.count_request(now)
+            if counts:
+                bucket.count_request(now)
             return False
         return not self._is_after_pause(now)
 
@@ -274,8 +296,9 @@
     ) -> _Bucket:
         bucket = self.buckets.get(server.id)
         if bucket is None:
-            # Empty, as others may have sent requests just before.
-            bucket = _Bucket(limit, 0.0, float("-inf"), 0.0, now)
+            bucket = _Bucket(
+                limit, 0.0, float("-inf"), self.saved, now, self.saved
+            )
             self.buckets[server.id] = bucket
         bucket.refill(now)
         if bucket.limit != limit or now - bucket.checked_at >= SHARE_CHECK_S:
@@ -388,6 +411,20 @@
         return self.ran_at is not None and now - self.ran_at > MAX_PAUSE_S
 
 
+class _NoLimits:
+    """Limits no server."""
+
+    def rate(self, server: models.Registration) -> float | None:
+        """Returns None."""
+        del server
+        return None
+
+
+def make_unlimited(view: views.View) -> ServerThrottle:
+    """Returns a throttle that limits no server."""
+    return ServerThrottle(models.HostId(""), view, _NoLimits(), dict)
+
+
 def _recent(known: _PeerDemand | None, now: float) -> _PeerDemand | None:
     """Returns a report, or None if it is missing or too old."""
     if known is None or now - known.reported_at > DEMAND_TIMEOUT_S:
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -36,7 +36,12 @@
         self.placing = cases.make_placement(
             fleet.view, [f"h{number}"], self.identity.id, self.region
         )
-        self.relays = relays.Relays(self.members, self.quotas, self.placing)
+        self.relays = relays.Relays(
+            self.members,
+            self.quotas,
+            self.placing,
+            self.placing.throttle.limits,
+        )
         phase = number % 20 / 20
         self.heartbeat_at = fleet.now + phase
         self.digest_at = fleet.now + phase / 2
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -3,10 +3,12 @@
 import asyncio
 import collections
 
+import msgspec
 import pytest
 
 from banyanshed.gateway import clients
 from banyanshed.platform import headers
+from banyanshed.platform import wire
 from banyanshed.steering import cold
 from banyanshed.steering import health
 from banyanshed.steering import health_checks
@@ -293,3 +295,13 @@
     gateway_fleet.run_scenario(
         scenario, servers=("i1",), config=make_configuration(HEALTH_PATH)
     )
+
+
+@pytest.mark.parametrize(
+    ("path", "known"),
+    [("/healthz", "/healthz"), ("healthz", ""), ("/a b", ""), ("/\n", "")],
+)
+def test_only_a_path_that_can_be_asked_for_is_one(path, known):
+    config = make_configuration(path)
+    decoded = wire.decode_configuration(msgspec.json.encode(config))
+    assert decoded.services["s"].health_path == known
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -45,7 +45,9 @@
         )
         self.limits = self.placing.throttle.limits
         self.outliers = self.placing.health.outliers
-        self.relays = relays.Relays(self.fleet, self.quotas, self.placing)
+        self.relays = relays.Relays(
+            self.fleet, self.quotas, self.placing, self.placing.throttle.limits
+        )
         self.region = ZONES[self.identity.zone]
         self.summary_at = number / 40
 
