Let the soak's leaving servers say so in their answers, and check it

Cause: the soak's servers told their leaving by row only, so that it could not find hosts that don't heed it in answers. Change: they name it in each answer from then on; leaving_answer_is_heeded finds requests that a caller sent later than drain after a host passed such an answer on and that reach the server from that host.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -107,6 +107,9 @@
         extra = {}
         if self.limit is not None:
             extra["Server-Limit"] = f"{self.limit:g}"
+        if self.state == "draining":
+            extra["Server-Leaving"] = "1"
+            execution.says_leaving = True
         exchange.respond(200, execution.body, **extra)
 
     async def _crash(self):
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -73,6 +73,7 @@
             violations.append(
                 f"limited_server_is_not_flooded: {violation}: {limit}"
             )
+    violations.extend(leaving_answer_is_heeded(records, requests_by_id))
     violation = deadly_request_stops(records, requests_by_id)
     if violation:
         violations.append(f"deadly_request_stops: {violation}")
@@ -292,6 +293,33 @@
     return f"{len(late)} executions from {late[0]:.2f} s on"
 
 
+def leaving_answer_is_heeded(records, requests_by_id):
+    """Returns requests for a server after the host passed on its leaving."""
+    told_at = {}
+    for execution in records.executions:
+        request = requests_by_id.get(execution.id)
+        if request is None or not execution.says_leaving:
+            continue
+        if request.stamp != execution.server:
+            continue
+        pair = (request.host, execution.server)
+        told_at[pair] = min(told_at.get(pair, float("inf")), request.ended_at)
+    violations = []
+    for execution in records.executions:
+        request = requests_by_id.get(execution.id)
+        if request is None:
+            continue
+        since = told_at.get((request.host, execution.server), float("inf"))
+        if request.sent_at <= since + DRAIN_BOUND_S:
+            continue
+        if records.is_fault_free({request.host}, since, execution.at):
+            late_s = request.sent_at - since
+            violations.append(
+                f"leaving_answer_is_heeded: {late_s:.2f} s after: {execution}"
+            )
+    return violations
+
+
 def _hosts_told(records, limit):
     """Returns when each host first passed on an answer with the limit."""
     told_at = {}
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -72,6 +72,7 @@
         leaked_key: Whether the caller's API key was forwarded to the server.
         body: Body of the answer; empty if there was none.
         left_at: When the connection closed before the answer; None if not.
+        says_leaving: Whether the answer says that the server leaves.
     """
 
     id: str
@@ -81,6 +82,7 @@
     leaked_key: bool
     body: bytes = b""
     left_at: float | None = None
+    says_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -234,3 +234,31 @@
     records.recovery_s = 0.1
     found = [line.split(":")[0] for line in invariants.check(records)]
     assert found == ["deadly_request_stops"] * violated
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "host", "fault", "violated"),
+    [
+        (12.7, "h1", None, True),
+        (12.5, "h1", None, False),
+        (12.7, "h2", None, False),
+        (12.7, "h1", "paused", False),
+    ],
+)
+def test_requests_after_an_answer_that_says_leaving_are_found(
+    sent_at, host, fault, violated
+):
+    records = records_lib.Records(recovery_s=0.1)
+    records.requests = [
+        request(),
+        request(id="b", host=host, sent_at=sent_at, ended_at=sent_at + 0.1),
+    ]
+    records.executions = [
+        execution(says_leaving=True),
+        execution(id="b", at=sent_at + 0.05),
+    ]
+    if fault is not None:
+        interval = records_lib.FaultInterval(fault, "h1", 11.0, 11.5)
+        records.fault_intervals.append(interval)
+    found = [v.split(":")[0] for v in invariants.check(records)]
+    assert found == ["leaving_answer_is_heeded"] * violated
