Log why a health check told nothing

Cause: a health check without a response, or with another server's, ended without a line. Change: health_check_failed names the server and the reason. No decision changes. Evidence: test_cold_servers and test_operations_page pass.

--- a/src/banyanshed/gateway/health_checks.py
+++ b/src/banyanshed/gateway/health_checks.py
@@ -6,6 +6,7 @@
 
 from banyanshed.gateway import clients
 from banyanshed.gateway import lifecycles as lifecycles_lib
+from banyanshed.gateway import logs
 from banyanshed.gateway import messages
 from banyanshed.gateway import pools
 from banyanshed.platform import headers as header_names
@@ -86,9 +87,12 @@
             self.connection_pools.release(entry.id, connection)
         except clients.ConnectFailed:
             self.lifecycles.record_refusal(entry)
-        except (clients.ResponseLost, TimeoutError):
-            # It says nothing; the next check follows.
-            return
+        except (clients.ResponseLost, TimeoutError) as error:
+            logs.log_event(
+                "health_check_failed",
+                server=entry.id,
+                error=str(error) or "timeout",
+            )
 
     async def _ask(
         self,
