Look a server's service up in one place

Cause: the caps on a side of a partition repeated the look-up of View.service_of. Change: service_of takes an entry; views, health checks and caps call it. The behaviour is as before.

--- a/src/banyanshed/gateway/health_checks.py
+++ b/src/banyanshed/gateway/health_checks.py
@@ -70,7 +70,7 @@
 
     async def _check(self, server: views.Server) -> None:
         entry = server.registration
-        service = self.view.service_of(server)
+        service = self.view.service_of(entry)
         if service is None:
             return
         try:
--- a/src/banyanshed/steering/partitions.py
+++ b/src/banyanshed/steering/partitions.py
@@ -54,9 +54,8 @@
         """Returns a server's cap in requests per second; None if none."""
         if self.silent_share <= 0.0 or self.tolerance is None:
             return None
-        configuration = self.view.configuration
-        service = configuration and configuration.services.get(server.service)
-        if not isinstance(service, models.Service) or service.cold_s <= 0.0:
+        service = self.view.service_of(server)
+        if service is None or service.cold_s <= 0.0:
             return None
         excess = service.cold_rate * (self.tolerance.excess - 1.0)
         return max(0.0, excess + self.tolerance.slack)
--- a/src/banyanshed/steering/views.py
+++ b/src/banyanshed/steering/views.py
@@ -195,11 +195,11 @@
         """Returns the region of a server; None if its zone is unknown."""
         return self.zones.get(server.registration.zone)
 
-    def service_of(self, server: Server) -> models.Service | None:
+    def service_of(self, entry: models.Registration) -> models.Service | None:
         """Returns the service of a server; None if it is not configured."""
         if self.configuration is None:
             return None
-        return self.configuration.services.get(server.registration.service)
+        return self.configuration.services.get(entry.service)
 
     def is_cold(self, server: Server, now: float) -> bool:
         """Returns whether a server is cold, so that its rate is limited.
@@ -210,7 +210,7 @@
         if now < server.cold_until:
             return True
         entry = server.registration
-        service = self.service_of(server)
+        service = self.service_of(entry)
         if service is None or service.cold_s <= 0.0:
             return False
         if self.lifecycles.is_cold(entry, now):
