--- a/review/11/case.py
+++ b/review/11/case.py
@@ -67,9 +67,7 @@
     # Hosts hear each other.
     await asyncio.sleep(4.0)
     if rig.trouble:
-        rig.record.write("cut", host=first.name, links=len(first.links))
-        for link in first.links.values():
-            link.stop()
+        first.cut_workers()
     calls = []
 
     async def send_for(seconds: float) -> None:
--- a/review/harness3/rig.py
+++ b/review/harness3/rig.py
@@ -167,6 +167,7 @@
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
+            host.store_writers.add(writer)
             with contextlib.suppress(BrokenMessage, OSError):
                 while True:
                     request = await read_message(reader)
@@ -176,9 +177,11 @@
                     first = f"HTTP/1.1 {status} Status"
                     writer.write(encode(first, headers, body))
                     await writer.drain()
+            host.store_writers.discard(writer)
             writer.close()
 
         server = await asyncio.start_server(serve, self.rig.ip(1), 0)
+        host.store_server = server
         self.rig.stack.callback(server.close)
         ip, port = server.sockets[0].getsockname()[:2]
         return f"{ip}:{port}"
@@ -513,6 +516,22 @@
         self.links: dict[str, Link] = {}
         self.process: subprocess.Popen[bytes] | None = None
         self.settings: dict[str, object] = {}
+        self.store_server: asyncio.Server | None = None
+        self.store_writers: set[asyncio.StreamWriter] = set()
+
+    def cut_store(self) -> None:
+        """Cuts it off from the store: resets, and refuses from then on."""
+        assert self.store_server is not None
+        self.store_server.close()
+        for writer in list(self.store_writers):
+            reset(writer)
+        self.rig.record.write("store cut", host=self.name)
+
+    def cut_workers(self) -> None:
+        """Cuts it off from all workers: resets, and refuses from then on."""
+        for link in self.links.values():
+            link.stop()
+        self.rig.record.write("workers cut", host=self.name)
 
     async def prepare(self) -> None:
         """Opens its links and writes its settings."""
@@ -656,6 +675,7 @@
         self.runs: list[Run] = []
         self.senders: dict[tuple[str, int], str] = {}
         self.numbers = itertools.count(1)
+        self.sent: dict[str, float] = {}
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.command = shlex.split(deploy["roles"]["entry"]["run"])
 
@@ -688,6 +708,10 @@
         for host in self.hosts.values():
             await host.wait_ready()
 
+    def sent_at(self, id_: str) -> float:
+        """Returns when a request was sent."""
+        return self.sent[id_]
+
     async def request(
         self,
         host: Host,
@@ -704,6 +728,7 @@
             "X-Banyanshed-Deadline-Ms": str(deadline_ms),
             "X-Api-Key": KEY,
         }
+        self.sent[id_] = self.record.now()
         self.record.write(
             "sent", id=id_, host=host.name, request=f"{method} {target}{note}"
         )
