Show that a late write brings a worker back that has left

Cause: a removed server's sequence number is forgotten, so that an older entry of the same process counts as new.

--- a/review/harness3/rig.py
+++ b/review/harness3/rig.py
@@ -314,6 +314,7 @@
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.extra: Headers = {}
+        self.has_left = False
 
     async def start(self, port: int = 0) -> None:
         """Listens and writes its entry into the store."""
@@ -323,28 +324,34 @@
         self.address = self.server.sockets[0].getsockname()[:2]
         await self.register()
 
-    async def register(self, state: str = "ready") -> None:
+    async def register(self) -> None:
         """Writes its entry into the store."""
+        await self.rig.store.put("servers", self.id, self.next_entry())
+
+    def next_entry(self) -> dict[str, object]:
+        """Returns the entry that it writes next."""
         self.sequence += 1
-        await self.rig.store.put(
-            "servers",
-            self.id,
-            {
-                "addr": "set by the store for each host",
-                "info": {
-                    "backend": self.service,
-                    "zone": self.zone,
-                    "version": "1",
-                    "slots": self.slots,
-                },
-                "status": {
-                    "state": state,
-                    "seq": self.sequence,
-                    "coldLeft": "0ms",
-                },
-                "born": self.born,
+        return {
+            "addr": "set by the store for each host",
+            "info": {
+                "backend": self.service,
+                "zone": self.zone,
+                "version": "1",
+                "slots": self.slots,
             },
-        )
+            "status": {
+                "state": "ready",
+                "seq": self.sequence,
+                "coldLeft": "0ms",
+            },
+            "born": self.born,
+        }
+
+    async def leave(self) -> None:
+        """Leaves without reporting it: its entry goes, and it serves on."""
+        self.has_left = True
+        self.extra["Server-Leaving"] = "1"
+        await self.rig.store.remove("servers", self.id)
 
     def crash(self) -> None:
         """Ends its process: connections are reset, new ones are refused."""
