--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,48 +1,46 @@
-"""Clients send large bodies, within the limits of the configuration.
+"""A late write of a worker that has left brings its entry back.
 
-The platform's stand-in does what DEPLOY.md says of memory: it kills a process
-that exceeds `memoryMb` and starts it again.
+The store does not answer one write of three workers, and performs it seconds
+later. Meanwhile these workers leave as planned, without reporting `draining`:
+their entries are removed, and they go on serving for a while.
 """
 
 import asyncio
 import contextlib
 import pathlib
+import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from harness3 import rig as rig_lib  # noqa: E402
 
-MEMORY_BYTES = 222 << 20
-# The configuration's `maxBodyBytes` is 64 MiB, and the process must run within
-# `memoryMb` = 222 on one host.
-LARGE_BODY_BYTES = 52 << 20
-SMALL_BODY_BYTES = 7200
-SAMPLE_S = 0.01
-WORK_S = 0.64
+SEED = 13
+DRAIN_S = 2.5
+BEAT_S = 1.5
+# An entry is removed after three heartbeat intervals of silence.
+LAPSE_S = 3 * BEAT_S
+# Time from the unanswered write until the entries are removed: the store has
+# been without disruption for longer than `stable`, 3 s.
+REMOVED_AFTER_S = 3.2
+# The store performs a write without an answer 1 to 6 s later.
+LATE_S = 5.9
+# A worker that leaves goes on for `drain` and a little longer, at times many
+# seconds.
+SERVES_ON_S = 10.0
 DEADLINE_MS = 3000
-CALM_INTERVAL_S = 0.1
-CALM_S = 2.0
-UPLOADS = 3
-# The rule's bounds: this many ends on each of so many hosts.
-ENDS = 3
-HOSTS = 2
-
-
-def read_memory(pid: int) -> int:
-    """Returns the most memory that a process has held, in bytes."""
-    with contextlib.suppress(OSError):
-        text = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
-        for line in text.splitlines():
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) * 1024
-    return 0
+WORK_S = 0.1
+INTERVAL_S = 0.1
+WORKERS = 21
+# Share of the workers that leave: 0.143.
+LEAVING = 3
 
 
 async def scenario(
     stack: contextlib.AsyncExitStack, folder: pathlib.Path
 ) -> bool:
     """Plays the case; returns whether the rule held."""
+    rng = random.Random(SEED)
 
     async def work(worker: rig_lib.Worker, request: rig_lib.Message) -> bytes:
         del worker, request
@@ -54,7 +52,7 @@
         "name": "booking-charge",
         "prefix": "/booking/",
         "kind": "unsafe",
-        "timeout": "2500ms",
+        "timeout": "1500ms",
         "targetLatency": "400ms",
         "priority": 1,
         "attempts": 2,
@@ -63,75 +61,70 @@
     zones = list(rig.zones)
     workers = [
         rig_lib.Worker(rig, f"i-{n}", "bookings", zones[n % 2])
-        for n in range(4)
+        for n in range(WORKERS)
     ]
     configuration = rig_lib.make_configuration([route], ["bookings"])
-    await rig.start(configuration, workers, [zones[0], zones[1]])
+    await rig.start(configuration, workers, [zones[0], zones[1], zones[0]])
     hosts = list(rig.hosts.values())
-    await asyncio.sleep(2.0)
-    ends = dict.fromkeys(rig.hosts, 0)
-    most = 0
+    leaving = workers[:LEAVING]
+    calls = []
 
-    async def watch(host: rig_lib.Host) -> None:
-        nonlocal most
+    async def send() -> None:
         while True:
-            await asyncio.sleep(SAMPLE_S)
-            process = host.process
-            assert process is not None
-            held = read_memory(process.pid)
-            most = max(most, held)
-            if held > MEMORY_BYTES:
-                rig.record.write("over memoryMb", host=host.name, bytes=held)
-                host.end()
-                ends[host.name] += 1
-            if process.poll() is not None:
-                host.start()
-
-    watchers = [asyncio.ensure_future(watch(host)) for host in hosts]
-    calls = []
+            call = rig.request(
+                rng.choice(hosts), "POST", "/booking/new", DEADLINE_MS
+            )
+            calls.append(asyncio.ensure_future(call))
+            await asyncio.sleep(INTERVAL_S)
 
-    def send(host: rig_lib.Host, target: str, size: int) -> None:
-        call = rig.request(
-            host,
-            "POST",
-            target,
-            DEADLINE_MS,
-            b"x" * size,
-            note=f" ({size} bytes)",
+    async def beat() -> None:
+        while True:
+            await asyncio.sleep(BEAT_S)
+            for worker in workers:
+                if not worker.has_left:
+                    await worker.register()
+
+    tasks = [asyncio.ensure_future(send()), asyncio.ensure_future(beat())]
+    await asyncio.sleep(5.0)
+    late = [(worker, worker.next_entry()) for worker in leaving]
+    rig.record.write("writes without an answer", workers=len(late))
+    await asyncio.sleep(REMOVED_AFTER_S)
+    for worker in leaving:
+        await worker.leave()
+    removed_at = rig.record.now()
+    rig.record.write("entries removed")
+    await asyncio.sleep(LATE_S - REMOVED_AFTER_S)
+    if rig.trouble:
+        for worker, entry in late:
+            await rig.store.put("servers", worker.id, entry)
+        rig.record.write("late writes performed")
+    await asyncio.sleep(LAPSE_S)
+    for worker in leaving:
+        await rig.store.remove("servers", worker.id)
+    rig.record.write("entries lapsed")
+    await asyncio.sleep(SERVES_ON_S - (LATE_S - REMOVED_AFTER_S) - LAPSE_S)
+    for worker in leaving:
+        worker.crash()
+    rig.record.write("workers ended")
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*calls)
+    gone = {worker.id for worker in leaving}
+    broken = [
+        run
+        for run in rig.runs
+        if run.worker in gone and run.at > removed_at + DRAIN_S
+    ]
+    for run in broken:
+        rig.record.write(
+            "BROKEN",
+            id=run.id,
+            after_removal=f"{run.at - removed_at:.3f}",
+            worker=run.worker,
+            sent_by=run.host,
         )
-        calls.append(asyncio.ensure_future(call))
-
-    async def send_calm(seconds: float) -> None:
-        ends_at = rig.record.now() + seconds
-        while rig.record.now() < ends_at:
-            for host in hosts:
-                send(host, "/booking/new", SMALL_BODY_BYTES)
-            await asyncio.sleep(CALM_INTERVAL_S)
-
-    for _ in range(UPLOADS):
-        for host in hosts:
-            await host.wait_ready()
-        await send_calm(CALM_S)
-        for host in hosts:
-            size = LARGE_BODY_BYTES if rig.trouble else SMALL_BODY_BYTES
-            send(host, "/booking/photo", size)
-        await send_calm(CALM_S)
-    answers = await asyncio.gather(*calls)
-    for watcher in watchers:
-        watcher.cancel()
-    lost = 0
-    for id_, answer in answers:
-        lost += bool(rig.runs_of(id_)) and answer is None
-    rig.record.write(
-        "result",
-        ends=ends,
-        most_memory_bytes=most,
-        run_without_answer=lost,
-    )
-    if not any(answer for _, answer in answers):
-        raise RuntimeError("no request was served")
-    fallen = sum(count >= ENDS for count in ends.values())
-    return fallen < HOSTS
+    rig.record.write("result", sent=len(calls), broken=len(broken))
+    return not broken
 
 
 rig_lib.main(scenario)
