--- a/review/harness3/rig.py
+++ b/review/harness3/rig.py
@@ -683,6 +683,7 @@
         self.senders: dict[tuple[str, int], str] = {}
         self.numbers = itertools.count(1)
         self.sent: dict[str, float] = {}
+        self.targets: list[str] = []
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.command = shlex.split(deploy["roles"]["entry"]["run"])
 
@@ -715,6 +716,10 @@
         for host in self.hosts.values():
             await host.wait_ready()
 
+    def count_sent(self, target: str) -> int:
+        """Returns the number of requests that were sent to a path."""
+        return self.targets.count(target)
+
     def sent_at(self, id_: str) -> float:
         """Returns when a request was sent."""
         return self.sent[id_]
@@ -736,6 +741,7 @@
             "X-Api-Key": KEY,
         }
         self.sent[id_] = self.record.now()
+        self.targets.append(target)
         self.record.write(
             "sent", id=id_, host=host.name, request=f"{method} {target}{note}"
         )
