--- a/review/harness3/rig.py
+++ b/review/harness3/rig.py
@@ -825,13 +825,17 @@
         # Tasks of the stand-ins may end with their connections.
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda loop, context: None)
+        # A case that is ended early ends its processes, too.
+        task = asyncio.current_task()
+        assert task is not None
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with contextlib.AsyncExitStack() as stack:
             folder = stack.enter_context(tempfile.TemporaryDirectory())
             return await scenario(stack, pathlib.Path(folder))
 
     try:
         held = asyncio.run(play())
-    except Exception as error:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     print("the rule held" if held else "the rule was broken")
