--- a/review/harness3/rig.py
+++ b/review/harness3/rig.py
@@ -567,9 +567,11 @@
         self.write_settings()
 
     def write_settings(self) -> None:
-        """Writes the settings file; JSON is YAML, too."""
+        """Replaces the settings file as a whole; JSON is YAML, too."""
         text = json.dumps(self.settings, indent=2)
-        self.path.write_text(text, encoding="utf-8")
+        new = self.path.with_suffix(".new")
+        new.write_text(text, encoding="utf-8")
+        new.replace(self.path)
 
     def start(self) -> None:
         """Starts the process."""
