Count a request as possibly run from its send, however the wait ends

What callers saw: a host that reaches no backend server passes a booking on to its peer. A caller then books twice.

Cause: `_ask_peer` noted that a request may have run only where the wait for the peer ended with a lost response or a timeout. A stop ends it by a cancellation, after which the flag was still false.

Change: `Progress.unsettled_sends` alone owns what may have run, in place of two flags. It counts each send, to a server or a peer, before its first byte, and only a response that says so takes one back. Connecting to a peer is a step of its own: a stop while connecting is still a true 503. `request` lines of requests without an answer name the count.

Why this works: no way in which a wait can end has to be foreseen any more.

--- a/src/banyanshed/gateway/forwarding.py
+++ b/src/banyanshed/gateway/forwarding.py
@@ -290,13 +290,18 @@
         started_at = self.loop.time()
         outcome = health.Outcome.ABANDONED.value
         try:
+            connection = await self.peer_forwarder.connect(plan, peer)
+            progress.record_send()
             answer = await self.peer_forwarder.send(
                 progress.request,
                 plan,
                 peer,
+                connection,
                 progress.attempts_left(plan.route),
             )
             outcome = answer.result.value
+            if answer.result in peer_forwarding.NOT_RUN_RESULTS:
+                progress.record_not_run()
             if answer.result is peer_forwarding.Result.UNAVAILABLE:
                 return None
             return answer
@@ -306,7 +311,6 @@
         except (clients.ResponseLost, TimeoutError) as error:
             outcome = health.Outcome.FAILURE.value
             progress.sent_count += 1
-            progress.may_have_run = True
             progress.reason = str(error) or "timeout"
             return None
         finally:
@@ -426,8 +430,7 @@
             if not self._may_send(progress, choice, connection):
                 return None
             progress.sent_count += 1
-            progress.may_have_run_before = progress.may_have_run
-            progress.may_have_run = True
+            progress.record_send()
             response = await self._exchange(progress, plan, entry, connection)
             self.reachability.record_answer(self.loop.time())
             verdict = conversion.classify(response)
@@ -559,7 +562,7 @@
             return health.Outcome.FAILURE
         if verdict is conversion.Verdict.UNSIGNED:
             return health.Outcome.FAILURE
-        progress.may_have_run = progress.may_have_run_before
+        progress.record_not_run()
         if verdict is conversion.Verdict.MISDIRECTED:
             self.connection_pools.drop(server.id)
             return health.Outcome.UNREACHABLE
@@ -629,6 +632,8 @@
         }
         if progress.reason:
             fields["reason"] = progress.reason
+        if ending is not progress_lib.Ending.ANSWERED:
+            fields["unsettled_sends"] = progress.unsettled_sends
         if plan is not None:
             fields["route"] = plan.route.name
             fields["service"] = plan.service
--- a/src/banyanshed/gateway/peer_forwarding.py
+++ b/src/banyanshed/gateway/peer_forwarding.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 
+from banyanshed.gateway import clients
 from banyanshed.gateway import messages
 from banyanshed.gateway import pools
 from banyanshed.platform import headers as header_names
@@ -42,6 +43,10 @@
     UNAVAILABLE = "unavailable"
 
 
+# Results of requests that have not run and never will.
+NOT_RUN_RESULTS = frozenset({Result.NOT_RUN, Result.UNAVAILABLE})
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerResponse:
     """A peer's response to a request that was passed on.
@@ -89,11 +94,29 @@
             plan.home_regions, tried, self.random, self.loop.time()
         )
 
+    async def connect(
+        self, plan: routing.Plan, peer: members.Member
+    ) -> clients.Connection:
+        """Returns a connection to a peer, on which nothing has been sent yet.
+
+        Args:
+            plan: Route of the request.
+            peer: The peer.
+
+        Raises:
+            ConnectFailed: The peer can't be reached.
+        """
+        entry = _register_peer(peer.host, self.port)
+        return await self.connection_pools.acquire(
+            entry, plan.route.idempotent, self.loop.time()
+        )
+
     async def send(
         self,
         request: messages.Request,
         plan: routing.Plan,
         peer: members.Member,
+        connection: clients.Connection,
         attempts: int,
     ) -> PeerResponse:
         """Sends a request through a peer.
@@ -102,24 +125,20 @@
             request: The caller's request.
             plan: Its route.
             peer: The peer.
+            connection: Connection to the peer.
             attempts: Number of servers that it may still be sent to.
 
         Raises:
-            ConnectFailed: The peer can't be reached; nothing was sent.
             ResponseLost: The peer may have passed the request on.
             TimeoutError: The same.
         """
-        entry = _register_peer(peer.host, self.port)
-        connection = await self.connection_pools.acquire(
-            entry, plan.route.idempotent, self.loop.time()
-        )
         remaining_s = plan.expires_at - self.loop.time()
         async with asyncio.timeout_at(plan.expires_at):
             response = await connection.send(
                 _request_to_peer(request, remaining_s, attempts),
                 header_names.REQUEST_ID,
             )
-        self.connection_pools.release(entry.id, connection)
+        self.connection_pools.release(_server_id(peer.host), connection)
         return _read_response(response)
 
 
@@ -189,10 +208,15 @@
     return [item for item in headers if item[0] not in names]
 
 
+def _server_id(host: members.Host) -> models.ServerId:
+    """Returns the id under which the pools know a peer."""
+    return models.ServerId(f"peer {host.id}")
+
+
 def _register_peer(host: members.Host, port: int) -> models.Registration:
     """Returns what the pools need to know of a peer."""
     return models.Registration(
-        models.ServerId(f"peer {host.id}"),
+        _server_id(host),
         (host.ip, port),
         models.ServiceName(""),
         host.zone,
--- a/src/banyanshed/gateway/progress.py
+++ b/src/banyanshed/gateway/progress.py
@@ -44,8 +44,8 @@
         tried: Servers that were chosen for an attempt.
         sent_count: Number of attempts in which the request was sent.
         connect_failures: Number of failed connection attempts.
-        may_have_run: Whether a server may have run the request.
-        may_have_run_before: may_have_run before the current attempt.
+        unsettled_sends: Number of times that the request was sent, to a server
+            or a peer, and nothing said that it was not run.
         failure: Last error response of a server.
         reason: Why the request failed or was rejected, or why the last
             attempt was not successful.
@@ -68,8 +68,7 @@
     tried: list[models.ServerId] = dataclasses.field(default_factory=list)
     sent_count: int = 0
     connect_failures: int = 0
-    may_have_run: bool = False
-    may_have_run_before: bool = False
+    unsettled_sends: int = 0
     failure: messages.Response | None = None
     reason: str = ""
     retry_after_s: float = conversion.DEFAULT_RETRY_AFTER_S
@@ -85,6 +84,22 @@
     asked_peers: list[models.HostId] = dataclasses.field(default_factory=list)
     ending: Ending | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the request, or may run it yet."""
+        return self.unsettled_sends > 0
+
+    def record_send(self) -> None:
+        """Records that the request is about to be sent to a server or a peer.
+
+        From here on it may run, however the wait for the response ends.
+        """
+        self.unsettled_sends += 1
+
+    def record_not_run(self) -> None:
+        """Records that the last send has led to no run, and never will."""
+        self.unsettled_sends -= 1
+
     def attempts_left(self, route: models.Route) -> int:
         """Returns the number of attempts that the route still allows."""
         allowed = route.attempts
--- a/tests/test_cut_hosts.py
+++ b/tests/test_cut_hosts.py
@@ -1,12 +1,15 @@
 """Hosts that are cut off from all backend servers, but not from their peers."""
 
 import asyncio
+import dataclasses
 import enum
 import random
 
 import pytest
 
 from banyanshed.gateway import clients
+from banyanshed.gateway import messages
+from banyanshed.gateway import peer_forwarding
 from banyanshed.steering import members
 from tests import gateway_fleet
 
@@ -223,6 +226,126 @@
     run_cut_host(scenario)
 
 
+LONG_ROUTES = [
+    gateway_fleet.route(timeout="100s"),
+    gateway_fleet.route("u", "unsafe", timeout="100s"),
+]
+# Time between SIGTERM and SIGKILL in tests of stops, in seconds.
+STOP_S = 3.0
+
+
+def run_stopping_cut_host(scenario):
+    """Runs a scenario in which hosts stop while one serves through peers."""
+
+    async def run(fleet):
+        for host in fleet.hosts.values():
+            host.settings = dataclasses.replace(host.settings, stop_s=STOP_S)
+        await scenario(fleet)
+
+    config = gateway_fleet.configuration(1, LONG_ROUTES)
+    run_cut_host(run, config=config)
+
+
+def start_call(fleet, path="/u/x"):
+    method = "POST" if path.startswith("/u/") else "GET"
+    return asyncio.ensure_future(
+        fleet.call(path, method=method, x_banyanshed_deadline_ms="60000")
+    )
+
+
+def set_peer_answers(fleet, *answers):
+    """Lets h1's calls of its peers end in turn as given; later ones hang."""
+    left = list(answers)
+
+    class PeerConnection:
+        async def send(self, request, id_header):
+            del request, id_header
+            if isinstance(self.answer, clients.ResponseLost):
+                raise self.answer
+            return self.answer
+
+        def abort(self):
+            pass
+
+    async def acquire(*_):
+        if not left:
+            await asyncio.Event().wait()
+        connection = PeerConnection()
+        connection.answer = left.pop(0)
+        if isinstance(connection.answer, clients.ConnectFailed):
+            raise connection.answer
+        return connection
+
+    peer_pools = fleet.hosts["h1"].peer_pools
+    peer_pools.acquire = acquire
+    peer_pools.release = lambda *_: None
+    return left
+
+
+def peer_answer(status, result=None):
+    headers = []
+    if result is not None:
+        headers.append((peer_forwarding.RESULT_HEADER, result.encode()))
+    return messages.Response(status, headers)
+
+
+# Guards against REFUSED: a stopping host answered 503, "not run", to a booking
+# that its peer had sent to a server, which ran it (review/11).
+@pytest.mark.parametrize("path", ["/r/x", "/u/x"])
+def test_a_host_that_stops_denies_nothing_that_a_peer_may_have_run(path):
+    async def scenario(fleet):
+        set_action(fleet, gateway_fleet.answer_after(120.0))
+        call = start_call(fleet, path)
+        request_id = f"id{fleet.request_number + 1}"
+        await fleet.wait_until(lambda: runs_of(fleet, request_id) == 1)
+        fleet.hosts["h1"].stopping.set()
+        assert (await call).status == 502
+        assert runs_of(fleet, request_id) == 1
+
+    run_stopping_cut_host(scenario)
+
+
+def test_a_peer_that_stops_denies_nothing_that_its_server_may_have_run():
+    async def scenario(fleet):
+        set_action(fleet, gateway_fleet.answer_after(120.0))
+        call = start_call(fleet)
+        request_id = f"id{fleet.request_number + 1}"
+        await fleet.wait_until(lambda: runs_of(fleet, request_id) == 1)
+        for name in ("h2", "h3"):
+            fleet.hosts[name].stopping.set()
+        assert (await call).status == 502
+        assert runs_of(fleet, request_id) == 1
+
+    run_stopping_cut_host(scenario)
+
+
+# Each first peer leaves the request as it is or may have run it; the second one
+# is not reached before the host stops.
+@pytest.mark.parametrize(
+    ("answers", "status"),
+    [
+        ([], 503),
+        ([peer_answer(503, "unavailable")], 503),
+        ([clients.ConnectFailed("refused")], 503),
+        ([clients.ResponseLost("lost")], 502),
+    ],
+)
+def test_a_stop_while_a_second_peer_is_asked_keeps_what_the_first_told(
+    answers, status
+):
+    async def scenario(fleet):
+        left = set_peer_answers(fleet, *answers)
+        call = start_call(fleet, "/r/x")
+        forwarder = fleet.hosts["h1"].forwarder
+        await fleet.wait_until(lambda: forwarder.serving and not left)
+        fleet.hosts["h1"].stopping.set()
+        response = await call
+        assert response.status == status
+        assert (response.find(b"retry-after") is not None) == (status == 503)
+
+    run_stopping_cut_host(scenario)
+
+
 def test_quota_and_requests_are_counted_at_the_first_host_only():
     async def scenario(fleet):
         counted = []
