Take an answer of a peer without a known result as a lost one

A peer of a later build that answers with a result which this build does not know, or an answer without any result, counted as "could not try": the request went to another peer or ended with 503 "not run", though the peer may have passed it on.

Cause: `_read_response` made UNAVAILABLE of everything that it did not know.

Change: an unknown result, or none with a status that no listener gives to an unread request, is a lost response. 4xx, 501 and 503 without a result still mean that the peer could not try (listeners' rejections, early releases).

Evidence: four of the seven cases of test_an_answer_of_a_peer_without_a_known_result_denies_nothing fail before (503 for 502), and pass now; the other three pass on both. Found by reading, not seen in a run of hosts.

--- a/src/banyanshed/gateway/peer_forwarding.py
+++ b/src/banyanshed/gateway/peer_forwarding.py
@@ -43,6 +43,7 @@
     UNAVAILABLE = "unavailable"
 
 
+_RESULTS = {result.value.encode(): result for result in Result}
 # Results of requests that have not run and never will.
 NOT_RUN_RESULTS = frozenset({Result.NOT_RUN, Result.UNAVAILABLE})
 
@@ -188,12 +189,18 @@
 
 
 def _read_response(response: messages.Response) -> PeerResponse:
-    """Decodes a peer's response; one without a result did not try."""
+    """Decodes a peer's response.
+
+    Raises:
+        ResponseLost: It does not tell what became of the request.
+    """
     value = response.find(RESULT_HEADER)
-    result = Result.UNAVAILABLE
-    if value in {item.value.encode() for item in Result}:
-        assert value is not None
-        result = Result(value.decode())
+    result = _RESULTS.get(value) if value is not None else None
+    if value is None and _is_unread(response.status):
+        result = Result.UNAVAILABLE
+    if result is None:
+        text = "none" if value is None else value.decode("latin-1")
+        raise clients.ResponseLost(f"unknown result of a peer: {text}")
     headers = _without(
         messages.strip_hop_by_hop(response.headers), {RESULT_HEADER}
     )
@@ -202,6 +209,15 @@
     )
 
 
+def _is_unread(status: int) -> bool:
+    """Returns whether a status without a result is from before the forwarder.
+
+    A listener rejects what it can't read, and hosts of early releases know of
+    no requests of peers.
+    """
+    return 400 <= status < 500 or status in (501, 503)
+
+
 def _without(
     headers: Sequence[tuple[bytes, bytes]], names: Collection[bytes]
 ) -> list[tuple[bytes, bytes]]:
--- a/tests/test_cut_hosts.py
+++ b/tests/test_cut_hosts.py
@@ -346,6 +346,34 @@
     run_stopping_cut_host(scenario)
 
 
+# Guards against REFUSED: an answer that tells not what became of the request,
+# as one of a later build, was taken to mean that nothing ran.
+@pytest.mark.parametrize(
+    ("answer", "status"),
+    [
+        (peer_answer(502, "queued"), 502),
+        (peer_answer(503, "queued"), 502),
+        (peer_answer(502), 502),
+        (peer_answer(200), 502),
+        # A listener's own answers to what it has not read as a whole, and that
+        # of a build that knows of no requests of peers.
+        (peer_answer(503), 503),
+        (peer_answer(413), 503),
+        (peer_answer(404), 503),
+    ],
+)
+def test_an_answer_of_a_peer_without_a_known_result_denies_nothing(
+    answer, status
+):
+    async def scenario(fleet):
+        set_peer_answers(fleet, answer, answer, answer)
+        response = await start_call(fleet)
+        assert response.status == status
+        assert (response.find(b"retry-after") is not None) == (status == 503)
+
+    run_stopping_cut_host(scenario)
+
+
 def test_quota_and_requests_are_counted_at_the_first_host_only():
     async def scenario(fleet):
         counted = []
