Ask a server whose entry was removed before a later row of it counts

What callers saw: workers left without reporting it and their entries were removed.

Cause: the view forgot a server with its row, so that any later row was a registration. Rows of the past and of the present look the same: a row is told only when more than its sequence changes, so that the sequence a host holds may be far behind the last one written.

Change: the record of a process keeps the removal (table version, sequence). A row after it puts the process in doubt: a health check decides, each 0.3 s, and no request goes there before. A row that outlasts the store's lapse ends the doubt, too. Without a health path only a higher sequence counts. Servers that are kept around an outage raise no doubt; a row that is not newer no longer ends the time for which one is kept. Log lines server_doubted and server_confirmed.

Why this works: the server is the only one that knows the present.

--- a/src/banyanshed/gateway/appliers.py
+++ b/src/banyanshed/gateway/appliers.py
@@ -5,8 +5,10 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+import dataclasses
 import time
 
+from banyanshed.gateway import lifecycles
 from banyanshed.gateway import logs
 from banyanshed.gateway import metrics
 from banyanshed.gateway import mirrors
@@ -22,6 +24,25 @@
 MASS_REMOVAL_SHARE = 0.25
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """What applies to all rows of servers that are applied together.
+
+    Attributes:
+        now: When they are applied, in seconds.
+        era: Era of the store in which they were read.
+        source: Where they were read from, for logs.
+        keep_until: Until when servers without a row are kept.
+        reason: Why they are kept; empty if they aren't.
+    """
+
+    now: float
+    era: int
+    source: str
+    keep_until: float
+    reason: str = ""
+
+
 class Applier:
     """Decodes changed rows, updates the view and logs the changes."""
 
@@ -73,7 +94,7 @@
         if mirror.table == wire.OPERATOR_TABLE:
             self._apply_operator(mirror, changed, source)
         else:
-            self._apply_servers(list(changed), source, max_age_s)
+            self._apply_servers(list(changed), mirror.era, source, max_age_s)
             self.view.servers_known = True
 
     def replace(
@@ -118,8 +139,20 @@
         if mirror.table == wire.OPERATOR_TABLE:
             self._apply_operator(mirror, changed, "store")
             return
+        batch = Batch(now, mirror.era, "store", now)
         for row in changed:
-            self._apply_server(row, now, now, "", "store")
+            self._apply_server(row, batch)
+
+    def settle_lasting(self, mirror: mirrors.Mirror) -> None:
+        """Ends the doubt of servers whose rows have lasted in the store."""
+        lasting_s = self.waits.bounds.lapse_s + waits_lib.RE_REGISTRATION_S
+        for entry in self.view.find_lasting(mirror.verified_at, lasting_s):
+            removal = self.view.lifecycles.find_doubt(entry)
+            assert removal is not None
+            self.view.lifecycles.settle(entry, removal)
+            lifecycles.log_doubt(
+                "server_confirmed", entry, removal, source="lasting row"
+            )
 
     def waits_of(self, table: str) -> waits_lib.TableWaits:
         """Returns the delays that apply to changes of a table."""
@@ -172,7 +205,7 @@
         )
 
     def _apply_servers(
-        self, changed: list[wire.Row], source: str, max_age_s: float
+        self, changed: list[wire.Row], era: int, source: str, max_age_s: float
     ) -> None:
         now = self.clock()
         removed = sum(1 for row in changed if row.value is None)
@@ -183,20 +216,15 @@
             in_service_until = now + self.waits.kept_in_service_s(max_age_s)
             if in_service_until > keep_until:
                 keep_until, reason = in_service_until, "many_removed"
+        batch = Batch(now, era, source, keep_until, reason)
         for row in changed:
-            self._apply_server(row, now, keep_until, reason, source)
+            self._apply_server(row, batch)
 
-    def _apply_server(
-        self,
-        row: wire.Row,
-        now: float,
-        keep_until: float,
-        reason: str,
-        source: str,
-    ) -> None:
+    def _apply_server(self, row: wire.Row, batch: Batch) -> None:
         id_ = models.ServerId(row.key)
+        removed_at = models.TableVersion(batch.era, row.version)
         if row.value is None:
-            self._remove_server(id_, now, keep_until, reason, source)
+            self._remove_server(id_, removed_at, batch)
             return
         try:
             entry = wire.decode_server(row.key, row.value)
@@ -204,9 +232,10 @@
             logs.log_event(
                 "server_entry_unreadable", server=id_, error=str(error)
             )
-            self._remove_server(id_, now, now, "", source)
+            at_once = dataclasses.replace(batch, keep_until=batch.now)
+            self._remove_server(id_, removed_at, at_once)
             return
-        self._update_server(entry, now, row.version, source)
+        self._update_server(entry, row.version, batch)
 
     def _holds(self, table: str, now: float) -> restores.Holds:
         """Returns until when rows count that a restored store lacks."""
@@ -224,14 +253,13 @@
     def _update_server(
         self,
         entry: models.Registration,
-        now: float,
         row_version: int,
-        source: str,
+        batch: Batch,
     ) -> None:
         known = self.view.servers.get(entry.id)
         state = known.registration.state if known is not None else None
         wall_ms = int(time.time() * 1000)
-        new = self.view.put_server(entry, now, wall_ms)
+        new = self.view.put_server(entry, batch.now, wall_ms)
         current = self.view.servers.get(entry.id)
         if current is None or current.registration is not entry:
             logs.log_event(
@@ -241,11 +269,12 @@
                 started_ms=entry.started_ms,
                 sequence=entry.sequence,
                 row_version=row_version,
-                source=source,
+                source=batch.source,
             )
             return
         if new:
             self.forget_server(entry.id)
+            self._log_doubt(entry, row_version, batch)
         if new or state is not entry.state:
             logs.log_event(
                 "server_known",
@@ -255,30 +284,40 @@
                 state=entry.state.value,
                 cold_left_s=entry.cold_left_s,
                 row_version=row_version,
-                source=source,
+                source=batch.source,
             )
 
+    def _log_doubt(
+        self, entry: models.Registration, row_version: int, batch: Batch
+    ) -> None:
+        """Logs that a row appeared of a process whose entry was removed."""
+        removal = self.view.lifecycles.find_doubt(entry)
+        if removal is None:
+            return
+        lifecycles.log_doubt(
+            "server_doubted",
+            entry,
+            removal,
+            row_version=row_version,
+            source=batch.source,
+        )
+
     def _remove_server(
-        self,
-        id_: models.ServerId,
-        now: float,
-        keep_until: float,
-        reason: str,
-        source: str,
+        self, id_: models.ServerId, at: models.TableVersion, batch: Batch
     ) -> None:
-        if self.view.drop_server(id_, now, keep_until):
-            self._record_removal(id_, "entry_removed", source=source)
+        if self.view.drop_server(id_, batch.now, batch.keep_until, at):
+            self._record_removal(id_, "entry_removed", source=batch.source)
             return
         if id_ not in self.view.servers:
             return
-        self.counters.count_kept_server(reason)
+        self.counters.count_kept_server(batch.reason)
         logs.log_event(
             "server_kept",
             server=id_,
-            reason=reason,
-            kept_s=round(keep_until - now, 3),
-            since_return_s=self._since_return_s(now),
-            source=source,
+            reason=batch.reason,
+            kept_s=round(batch.keep_until - batch.now, 3),
+            since_return_s=self._since_return_s(batch.now),
+            source=batch.source,
         )
 
     def _since_return_s(self, now: float) -> float | None:
--- a/src/banyanshed/gateway/health_checks.py
+++ b/src/banyanshed/gateway/health_checks.py
@@ -18,6 +18,8 @@
 TICK_S = 0.1
 # Timeout of a check, in seconds. Checks wait for a slot like requests.
 CHECK_TIMEOUT_S = 1.0
+# Status of a server that considers itself healthy.
+HEALTHY_STATUS = 200
 
 
 class HealthChecker:
@@ -73,6 +75,9 @@
         service = self.view.service_of(entry)
         if service is None:
             return
+        # A removal that is read while the server is asked is not settled.
+        doubt = self.view.lifecycles.find_doubt(entry)
+        stays = False
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_S):
                 connection = await self.connection_pools.acquire(
@@ -82,9 +87,11 @@
                 with contextlib.ExitStack() as stack:
                     stack.callback(connection.abort)
                     if service.health_path:
-                        await self._ask(entry, service, connection)
+                        stays = await self._ask(entry, service, connection)
                     stack.pop_all()
             self.connection_pools.release(entry.id, connection)
+            if stays and doubt is not None:
+                self.lifecycles.settle(entry, doubt, "health response")
         except clients.ConnectFailed:
             self.lifecycles.record_refusal(entry)
         except (clients.ResponseLost, TimeoutError) as error:
@@ -99,9 +106,12 @@
         server: models.Registration,
         service: models.Service,
         connection: clients.Connection,
-    ) -> None:
+    ) -> bool:
         """Asks a server on a connection.
 
+        Returns:
+            Whether it is healthy and does not leave.
+
         Raises:
             ResponseLost: There was no response, or another server's.
         """
@@ -112,3 +122,5 @@
         if response.find(header_names.SERVER_ID) != server.id.encode():
             raise clients.ResponseLost("not the server's own health response")
         self.lifecycles.observe_health(server, response.headers)
+        is_leaving = self.view.lifecycles.is_leaving(server)
+        return response.status == HEALTHY_STATUS and not is_leaving
--- a/src/banyanshed/gateway/lifecycles.py
+++ b/src/banyanshed/gateway/lifecycles.py
@@ -54,6 +54,16 @@
         )
         self._log(server, statement, news, source="health response")
 
+    def settle(
+        self,
+        server: models.Registration,
+        removal: models.EntryRemoval,
+        source: str,
+    ) -> None:
+        """Records that a server lives on after its entry was removed."""
+        if self.lifecycles.settle(server, removal):
+            log_doubt("server_confirmed", server, removal, source=source)
+
     def record_refusal(self, server: models.Registration) -> None:
         """Records that a server refused connections."""
         if not self.lifecycles.record_refusal(server):
@@ -113,3 +123,22 @@
                 cold_left_s=statement.cold_left_s,
                 **fields,
             )
+
+
+def log_doubt(
+    event: str,
+    server: models.Registration,
+    removal: models.EntryRemoval,
+    **fields: str | int,
+) -> None:
+    """Logs that a process is in doubt or no longer, and for which removal."""
+    logs.log_event(
+        event,
+        server=server.id,
+        started_ms=server.started_ms,
+        sequence=server.sequence,
+        removed_sequence=removal.sequence,
+        removed_era=removal.at.era,
+        removed_version=removal.at.number,
+        **fields,
+    )
--- a/src/banyanshed/steering/health_checks.py
+++ b/src/banyanshed/steering/health_checks.py
@@ -2,9 +2,10 @@
 
 Rows of the store tell that a server is cold, so that health checks are needed
 only where rows can't: of servers that refused connections, whose next process
-may not have written its row yet, and while this host's copy of the rows is
-outdated. In the second case the hosts that hear each other divide the servers;
-a host that hears none asks those that it sends requests to.
+may not have written its row yet; of those whose row may be of the past, as it
+was removed before; and while this host's copy of the rows is outdated. In the
+last case the hosts that hear each other divide the servers; a host that hears
+none asks those that it sends requests to.
 """
 
 from collections.abc import Callable, Sequence
@@ -14,8 +15,8 @@
 from banyanshed.steering import rendezvous
 from banyanshed.steering import views
 
-# Interval of the checks of one server, in seconds: until it is reached again,
-# and while the rows are outdated.
+# Interval of the checks of one server, in seconds: until it is reached again or
+# its row is known to be of the present, and while the rows are outdated.
 UNREACHED_INTERVAL_S = 0.3
 OUTDATED_INTERVAL_S = 1.0
 # Hosts that check a server while the rows are outdated.
@@ -100,6 +101,8 @@
         self, server: views.Server, is_assigned: bool, now: float
     ) -> float | None:
         """Returns the interval of a server's checks; None if there are none."""
+        if self.view.must_ask(server):
+            return UNREACHED_INTERVAL_S
         if not self.view.accepts_requests(server):
             return None
         entry = server.registration
--- a/src/banyanshed/steering/lifecycles.py
+++ b/src/banyanshed/steering/lifecycles.py
@@ -8,6 +8,11 @@
 
 A server that refused connections may have been restarted. Until it or its row
 says otherwise, it is taken to be cold from the moment at which it is reached.
+
+A process whose entry was removed from the store has left, or lives on and could
+not reach the store. A row of it that appears later was written before that and
+performed late, or it is of the present. Until that is settled, the process is
+in doubt.
 """
 
 from collections.abc import Iterable, Mapping
@@ -51,6 +56,10 @@
         cold_until: Until when it is cold by what it said beside its row.
         presumed_until: Until when it is taken to be cold after it refused
             connections; infinite until it was reached again.
+        sequence: Highest number of its entries.
+        removal: Newest removal of its entry; None if there is none.
+        removal_known_at: When that removal became known.
+        settled: Version of the newest removal after which it lives on.
         former: Starts of earlier processes, oldest first.
     """
 
@@ -59,6 +68,10 @@
     is_leaving: bool = False
     cold_until: float = -math.inf
     presumed_until: float = -math.inf
+    sequence: int = 0
+    removal: models.EntryRemoval | None = None
+    removal_known_at: float = -math.inf
+    settled: models.TableVersion = models.NO_TABLE
     former: tuple[int, ...] = ()
 
 
@@ -88,10 +101,58 @@
             self.processes[entry.id] = _Process(
                 entry.started_ms, now, former=former[-MAX_FORMER_PROCESSES:]
             )
+        process = self.processes[entry.id]
+        process.sequence = max(process.sequence, entry.sequence)
         is_leaving = entry.state is models.ServerState.DRAINING
         self.record(entry, models.Statement(is_leaving), now)
         return True
 
+    def record_removal(
+        self, entry: models.Registration, at: models.TableVersion, now: float
+    ) -> None:
+        """Records that this host dropped a server, as its entry was removed.
+
+        Args:
+            entry: The server's last entry.
+            at: Version of the table that no longer has it.
+            now: Current time in seconds.
+        """
+        known = self._find(entry)
+        if known is None:
+            return
+        known.heard_at = now
+        known.removal = models.EntryRemoval(at, known.sequence)
+        known.removal_known_at = now
+        known.settled = models.NO_TABLE
+
+    def find_doubt(
+        self, entry: models.Registration
+    ) -> models.EntryRemoval | None:
+        """Returns the removal that puts a server's process in doubt, if any."""
+        known = self._find(entry)
+        if known is None or known.removal is None:
+            return None
+        return known.removal if known.removal.at > known.settled else None
+
+    def doubted_since(self, entry: models.Registration) -> float:
+        """Returns when the removal of a server's entry became known."""
+        known = self._find(entry)
+        return -math.inf if known is None else known.removal_known_at
+
+    def settle(
+        self, entry: models.Registration, removal: models.EntryRemoval
+    ) -> bool:
+        """Records that a server's process lives on after a removal.
+
+        Returns:
+            Whether it was in doubt, and no longer is.
+        """
+        known = self._find(entry)
+        if known is None or self.find_doubt(entry) is None:
+            return False
+        known.settled = max(known.settled, removal.at)
+        return self.find_doubt(entry) is None
+
     def record(
         self,
         entry: models.Registration,
--- a/src/banyanshed/steering/models.py
+++ b/src/banyanshed/steering/models.py
@@ -275,6 +275,21 @@
     cold_left_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryRemoval:
+    """The removal of a backend server's entry from the store.
+
+    Attributes:
+        at: Version of the table that no longer has the entry.
+        sequence: Highest number that was known of the process's entries. Later
+            ones may have been written, as beats that change nothing else are
+            not told.
+    """
+
+    at: TableVersion
+    sequence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """The load that a backend server reports.
--- a/src/banyanshed/steering/views.py
+++ b/src/banyanshed/steering/views.py
@@ -17,13 +17,17 @@
     Attributes:
         registration: Its newest entry in the store.
         cold_until: Until when it is cold after its start.
+        registered_at: When its entry appeared.
         missing_until: Until when a missing entry may come back; None while
             the entry is present.
+        missing_since: Version of the table that no longer has the entry.
     """
 
     registration: models.Registration
     cold_until: float
-    missing_until: float | None
+    registered_at: float
+    missing_until: float | None = None
+    missing_since: models.TableVersion = models.NO_TABLE
 
 
 class View:
@@ -133,19 +137,22 @@
                 cold_until, self._compute_cold_until(entry, now, wall_ms)
             )
         if known is not None and same:
-            known.missing_until = None
-            if entry.sequence < known.registration.sequence:
-                # The server wrote it earlier, and it came late.
+            if _is_late(entry, known):
                 return False
+            known.missing_until = None
             known.registration = entry
             known.cold_until = cold_until
             return False
-        self.servers[entry.id] = Server(entry, cold_until, None)
+        self.servers[entry.id] = Server(entry, cold_until, now)
         self._index()
         return True
 
     def drop_server(
-        self, id_: models.ServerId, now: float, keep_until: float
+        self,
+        id_: models.ServerId,
+        now: float,
+        keep_until: float,
+        removed_at: models.TableVersion = models.NO_TABLE,
     ) -> bool:
         """Handles the removal of a server's entry.
 
@@ -155,6 +162,7 @@
             keep_until: Until when the server is kept, as its entry may come
                 back after an outage of the store; not later than `now` to drop
                 it immediately.
+            removed_at: Version of the table that no longer has the entry.
 
         Returns:
             Whether the server was dropped now.
@@ -162,10 +170,11 @@
         known = self.servers.get(id_)
         if known is None:
             return False
+        known.missing_since = removed_at
         if keep_until > now:
             known.missing_until = keep_until
             return False
-        del self.servers[id_]
+        self._drop(known, now)
         self._index()
         return True
 
@@ -177,17 +186,68 @@
                 continue
             dropped.append(id_)
         for id_ in dropped:
-            del self.servers[id_]
+            self._drop(self.servers[id_], now)
         if dropped:
             self._index()
         return dropped
 
+    def find_lasting(
+        self, verified_at: float, lasting_s: float
+    ) -> list[models.Registration]:
+        """Returns entries that have lasted although they were in doubt.
+
+        The store drops the entry of a silent server, so that one that lasts is
+        being written.
+
+        Args:
+            verified_at: When the entries were last known to match the store.
+            lasting_s: Seconds after which a silent server's entry is gone.
+        """
+        lasting = []
+        for server in self.servers.values():
+            entry = server.registration
+            if self.lifecycles.find_doubt(entry) is None:
+                continue
+            doubted_since = self.lifecycles.doubted_since(entry)
+            since = max(server.registered_at, doubted_since)
+            if (
+                server.missing_until is None
+                and verified_at - since >= lasting_s
+            ):
+                lasting.append(entry)
+        return lasting
+
     def accepts_requests(self, server: Server) -> bool:
-        """Returns whether a server is known, not leaving and not evacuated."""
+        """Returns whether a server may get requests.
+
+        It must be known, neither leaving nor evacuated, and not be taken to
+        have left for an entry that was removed before.
+        """
         entry = server.registration
         if self.servers.get(entry.id) is not server:
             return False
-        if self.lifecycles.is_leaving(entry):
+        if self.lifecycles.is_leaving(entry) or self.is_doubtful(server):
+            return False
+        return entry.zone not in self.evacuated_zones
+
+    def is_doubtful(self, server: Server) -> bool:
+        """Returns whether a server's entry may be of the past.
+
+        That is so after a removal until the server says that it is healthy. Of
+        one that can't be asked, only the numbers of its entries tell.
+        """
+        entry = server.registration
+        removal = self.lifecycles.find_doubt(entry)
+        if removal is None:
+            return False
+        return self._can_ask(entry) or 0 < entry.sequence <= removal.sequence
+
+    def must_ask(self, server: Server) -> bool:
+        """Returns whether a health check decides if a server is used."""
+        entry = server.registration
+        if self.lifecycles.find_doubt(entry) is None:
+            return False
+        if self.lifecycles.is_leaving(entry) or not self._can_ask(entry):
             return False
         return entry.zone not in self.evacuated_zones
 
@@ -218,6 +278,15 @@
         returned = self.evacuation_ended_at.get(entry.zone)
         return returned is not None and now < returned + service.cold_s
 
+    def _can_ask(self, entry: models.Registration) -> bool:
+        service = self.service_of(entry)
+        return service is not None and bool(service.health_path)
+
+    def _drop(self, server: Server, now: float) -> None:
+        entry = server.registration
+        self.lifecycles.record_removal(entry, server.missing_since, now)
+        del self.servers[entry.id]
+
     def _compute_cold_until(
         self, entry: models.Registration, now: float, wall_ms: int
     ) -> float:
@@ -237,3 +306,15 @@
                 server.registration.service, []
             )
             service_servers.append(server)
+
+
+def _is_late(entry: models.Registration, known: Server) -> bool:
+    """Returns whether a server wrote an entry before the known one.
+
+    One that was removed doesn't come back as it was: the server has written it
+    once more.
+    """
+    if entry.sequence < known.registration.sequence:
+        return True
+    is_same = 0 < entry.sequence == known.registration.sequence
+    return is_same and known.missing_until is not None
--- /dev/null
+++ b/tests/test_returned_servers.py
@@ -0,0 +1,258 @@
+"""Rows of servers whose entries were removed before."""
+
+import asyncio
+
+import pytest
+
+from banyanshed.steering import models
+from tests import gateway_fleet
+from tests import steering_cases as cases
+
+HEALTH_PATH = "/healthz"
+STARTED_MS = 1000
+# Sequence of the entry that hosts hold when it is removed.
+HELD_SEQUENCE = 5
+
+
+def make_configuration(health_path=HEALTH_PATH):
+    config = gateway_fleet.configuration()
+    config["backends"][0]["healthPath"] = health_path
+    return config
+
+
+def version(number, era=1):
+    return models.TableVersion(era, number)
+
+
+def make_asking_view(count=2):
+    """Returns a view whose servers can be asked for their health."""
+    view = cases.make_view(count)
+    service = models.Service("s", 3.0, 8.0, health_path=HEALTH_PATH)
+    view.configuration = cases.make_configuration(services=[service])
+    return view
+
+
+class Worker:
+    """Answers requests and health checks of one server, and counts them."""
+
+    def __init__(self, fleet, id_="i1"):
+        self.fleet = fleet
+        self.id = id_
+        self.extra = {}
+        self.health_status = 200
+        self.checks = 0
+        self.requests = 0
+        fleet.servers[id_].action = self.act
+
+    async def act(self, exchange):
+        if exchange.target == HEALTH_PATH:
+            self.checks += 1
+            exchange.headers["x-banyanshed-request-id"] = ""
+            exchange.respond(
+                self.health_status,
+                X_Banyanshed_Instance_Id=self.id,
+                **self.extra,
+            )
+            return
+        self.requests += 1
+        exchange.respond(**self.extra)
+
+    async def register(self, sequence):
+        await self.fleet.register(self.id, seq=sequence)
+
+    async def remove(self):
+        """Removes its entry; returns once all hosts have dropped it."""
+        await self.fleet.store.remove("servers", self.id)
+        for host in self.fleet.hosts.values():
+            await self.fleet.wait_until(
+                lambda view=host.view: self.id not in view.servers
+            )
+
+    def leave(self):
+        self.extra = {"Server_Leaving": "1"}
+        self.health_status = 503
+
+
+async def call_for(fleet, seconds, hosts=("h1",)):
+    """Sends requests for objects of their own to the hosts in turn."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + seconds
+    number = 0
+    while loop.time() < ends_at:
+        number += 1
+        response = await fleet.call(
+            "/u/x",
+            name=hosts[number % len(hosts)],
+            method="POST",
+            x_banyanshed_affinity_key=f"o{number}",
+        )
+        assert response.status == 200
+        await asyncio.sleep(0.01)
+
+
+async def call_until_used(fleet, worker, hosts=("h1",)):
+    async with asyncio.timeout(gateway_fleet.WAIT_TIMEOUT_S):
+        while not worker.requests:
+            await call_for(fleet, 0.05, hosts)
+
+
+# Guards against DRAIN: a write that the store performs late, after the removal
+# of the entry, was taken for a registration of the server (review/13). The
+# sequence that a host holds may be behind that of the late row.
+@pytest.mark.parametrize(
+    ("health_path", "sequence"),
+    [
+        (HEALTH_PATH, HELD_SEQUENCE - 2),
+        (HEALTH_PATH, HELD_SEQUENCE),
+        (HEALTH_PATH, HELD_SEQUENCE + 4),
+        ("", HELD_SEQUENCE - 2),
+        ("", HELD_SEQUENCE),
+    ],
+)
+def test_a_late_row_of_a_server_that_left_brings_it_no_requests(
+    health_path, sequence
+):
+    async def scenario(fleet):
+        worker = Worker(fleet)
+        await worker.register(HELD_SEQUENCE)
+        await call_until_used(fleet, worker)
+        worker.leave()
+        await worker.remove()
+        worker.requests = 0
+        await worker.register(sequence)
+        await call_for(fleet, 2.0)
+        assert worker.requests == 0
+
+    gateway_fleet.run_scenario(scenario, config=make_configuration(health_path))
+
+
+@pytest.mark.parametrize("health_path", [HEALTH_PATH, ""])
+def test_a_live_server_whose_entry_lapsed_is_used_again(health_path):
+    async def scenario(fleet):
+        worker = Worker(fleet)
+        await worker.register(HELD_SEQUENCE)
+        await worker.remove()
+        worker.requests = 0
+        await worker.register(HELD_SEQUENCE + 4)
+        async with asyncio.timeout(2.0):
+            await call_until_used(fleet, worker)
+
+    gateway_fleet.run_scenario(scenario, config=make_configuration(health_path))
+
+
+def test_a_server_that_starts_again_under_its_id_is_used_at_once():
+    async def scenario(fleet):
+        worker = Worker(fleet)
+        await worker.register(HELD_SEQUENCE)
+        await worker.remove()
+        worker.requests = 0
+        ip, port = fleet.servers["i1"].address
+        await fleet.store.put(
+            "servers",
+            "i1",
+            {
+                "addr": f"{ip}:{port}",
+                "info": {"backend": "s", "zone": "a1", "slots": 4},
+                "status": {"state": "ready", "seq": 1, "coldLeft": "0ms"},
+                "born": STARTED_MS + 1000,
+            },
+        )
+        await call_until_used(fleet, worker)
+        assert worker.checks == 0
+
+    gateway_fleet.run_scenario(scenario, config=make_configuration())
+
+
+def test_a_server_is_asked_until_it_says_that_it_is_healthy():
+    async def scenario(fleet):
+        worker = Worker(fleet)
+        await worker.register(HELD_SEQUENCE)
+        await worker.remove()
+        worker.requests = 0
+        worker.health_status = 503
+        await worker.register(HELD_SEQUENCE + 4)
+        await fleet.wait_until(lambda: worker.checks >= 3)
+        await call_for(fleet, 0.3)
+        assert worker.requests == 0
+        worker.health_status = 200
+        await call_until_used(fleet, worker)
+        checks = worker.checks
+        await call_for(fleet, 0.7)
+        assert worker.checks == checks
+
+    gateway_fleet.run_scenario(scenario, config=make_configuration())
+
+
+def drop(view, id_, at, now=1.0):
+    assert view.drop_server(id_, now, now, version(at))
+
+
+def test_a_removal_puts_a_returned_entry_in_doubt_until_it_is_settled():
+    view = make_asking_view()
+    entry = cases.make_entry("i0", sequence=3)
+    view.put_server(entry, 0.0, 10**6)
+    assert view.lifecycles.find_doubt(entry) is None
+    drop(view, "i0", at=7)
+    view.put_server(cases.make_entry("i0", sequence=9), 2.0, 10**6)
+    doubt = view.lifecycles.find_doubt(entry)
+    assert doubt == models.EntryRemoval(version(7), 3)
+    assert view.must_ask(view.servers["i0"])
+    assert not view.accepts_requests(view.servers["i0"])
+    assert view.lifecycles.settle(entry, doubt)
+    assert not view.lifecycles.settle(entry, doubt)
+    assert view.accepts_requests(view.servers["i0"])
+    # Each removal that this host reads is a doubt of its own.
+    drop(view, "i0", at=8)
+    view.put_server(cases.make_entry("i0", sequence=10), 3.0, 10**6)
+    assert not view.lifecycles.settle(entry, doubt)
+    assert not view.accepts_requests(view.servers["i0"])
+
+
+def test_an_entry_that_lasts_in_the_store_is_being_written():
+    view = make_asking_view()
+    drop(view, "i0", at=7)
+    entry = cases.make_entry("i0", sequence=9)
+    view.put_server(entry, 2.0, 10**6)
+    assert view.find_lasting(8.5, 6.6) == []
+    assert view.find_lasting(8.7, 6.6) == [entry]
+
+
+def test_a_server_in_doubt_that_leaves_or_is_evacuated_is_not_asked():
+    view = make_asking_view()
+    drop(view, "i0", at=7)
+    entry = cases.make_entry("i0", sequence=9)
+    view.put_server(entry, 2.0, 10**6)
+    assert view.must_ask(view.servers["i0"])
+    view.set_evacuated({entry.zone}, 2.0)
+    assert not view.must_ask(view.servers["i0"])
+    view.set_evacuated(set(), 2.0)
+    view.lifecycles.record(entry, models.Statement(True), 2.0)
+    assert not view.must_ask(view.servers["i0"])
+
+
+# Guards against a late write that ends the time for which a server with a
+# missing entry is kept, and brings it back for good.
+@pytest.mark.parametrize(
+    ("sequence", "is_back"), [(2, False), (3, False), (4, True)]
+)
+def test_a_late_row_does_not_end_the_time_for_which_a_server_is_kept(
+    sequence, is_back
+):
+    view = make_asking_view()
+    view.put_server(cases.make_entry("i0", sequence=3), 0.0, 10**6)
+    assert not view.drop_server("i0", 1.0, 3.0, version(7))
+    view.put_server(cases.make_entry("i0", sequence=sequence), 2.0, 10**6)
+    assert ("i0" not in view.drop_missing(3.5)) is is_back
+
+
+def test_an_entry_that_is_back_after_an_outage_raises_no_doubt():
+    view = make_asking_view()
+    view.put_server(cases.make_entry("i0", sequence=3), 0.0, 10**6)
+    assert not view.drop_server("i0", 1.0, 3.0, version(7))
+    view.put_server(cases.make_entry("i0", sequence=5), 2.0, 10**6)
+    assert view.accepts_requests(view.servers["i0"])
+    # One that is still missing by the end of that time is gone.
+    assert not view.drop_server("i0", 4.0, 6.0, version(8))
+    assert view.drop_missing(6.0) == ["i0"]
+    view.put_server(cases.make_entry("i0", sequence=7), 7.0, 10**6)
+    assert not view.accepts_requests(view.servers["i0"])
