Tell peers of removals that put servers' entries in doubt

A host that started after a removal, or that read the removal and a late row at once (a copy of a relay or a peer, a full read), sent requests to a server that had left.

Cause: only a host that had itself dropped the server knew of the removal.

Change: statements on servers get new last fields with the removal (era, version, sequence), sent while the entry is in doubt; heartbeats that answer a host which has just started get a new last field with the removals of the last minute, also of processes whose row it has not read. A removal that is not newer than the one that was settled raises no doubt, so that each host asks once.

--- a/src/banyanshed/gateway/gossip.py
+++ b/src/banyanshed/gateway/gossip.py
@@ -300,6 +300,7 @@
         limits: Mapping[models.ServerId, server_limits.LimitReport],
         demand: list[peer_messages.EncodedDemand] | None = None,
         suspects: Sequence[suspects_lib.SuspectReport] = (),
+        removals: Sequence[models.ProcessRemoval] = (),
     ) -> peer_messages.Heartbeat:
         now = self.loop.time()
         operators = self.mirrors[wire.OPERATOR_TABLE].report(now)
@@ -326,6 +327,7 @@
             peer_messages.encode_statements(
                 self.lifecycle_tracker.report(), self.applier.view.servers
             ),
+            peer_messages.encode_removals(removals),
         )
 
     def _handle_heartbeat(
@@ -356,6 +358,8 @@
         self.limit_tracker.apply_reports(limits, host.id, now)
         statements = self.server_index.decode_statements(heartbeat.statements)
         self.lifecycle_tracker.apply_reports(statements, host.id)
+        removals = peer_messages.decode_removals(heartbeat.removals)
+        self.lifecycle_tracker.learn_removals(removals, host.id)
         self._apply_suspects(heartbeat.suspects)
         if heartbeat.demand is not None:
             demand = self.server_index.decode_demand(heartbeat.demand)
@@ -407,7 +411,11 @@
         if is_near or not self.relays.is_needed(now):
             usages = peer_messages.encode_usages(self.quotas.known_usages(now))
         heartbeat = self._make_heartbeat(
-            usages, [], limits, suspects=self.suspects.report_all(now)
+            usages,
+            [],
+            limits,
+            suspects=self.suspects.report_all(now),
+            removals=self.lifecycle_tracker.lifecycles.removals(),
         )
         self._send(host.ip, peer_messages.encode(heartbeat))
         if not self._is_seed():
--- a/src/banyanshed/gateway/lifecycles.py
+++ b/src/banyanshed/gateway/lifecycles.py
@@ -1,7 +1,7 @@
 """Tracks what backend servers say of their life cycle: applies and logs it."""
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from banyanshed.gateway import logs
 from banyanshed.gateway import messages
@@ -102,6 +102,23 @@
             news = self.lifecycles.record(entry, statement, now)
             self._log(entry, statement, news, source=f"peer {peer}")
 
+    def learn_removals(
+        self, told: Sequence[models.ProcessRemoval], peer: models.HostId
+    ) -> None:
+        """Applies the removals that a peer tells this host at its start."""
+        now = self.loop.time()
+        for item in told:
+            if self.lifecycles.learn_removal(item, now):
+                logs.log_event(
+                    "server_removal_told",
+                    server=item.server,
+                    started_ms=item.started_ms,
+                    removed_sequence=item.removal.sequence,
+                    removed_era=item.removal.at.era,
+                    removed_version=item.removal.at.number,
+                    source=f"peer {peer}",
+                )
+
     def drop_absent(self) -> None:
         """Drops what is known of servers that are gone for long."""
         self.lifecycles.drop_absent(self.view.servers, self.loop.time())
@@ -115,6 +132,10 @@
     ) -> None:
         for item in news:
             self.counters.count_statement(item.value)
+            if item is lifecycles_lib.News.DOUBTED:
+                assert statement.removal is not None
+                log_doubt("server_doubted", server, statement.removal, **fields)
+                continue
             logs.log_event(
                 f"server_{item.value}",
                 server=server.id,
--- a/src/banyanshed/gateway/peer_messages.py
+++ b/src/banyanshed/gateway/peer_messages.py
@@ -114,12 +114,27 @@
 class EncodedStatement(msgspec.Struct, array_like=True, frozen=True):
     """What a server's process, given by `hash_process`, says of itself.
 
-    The time for which it stays cold is in milliseconds.
+    The time for which it stays cold is in milliseconds. The removal of its
+    entry that puts it in doubt is given by its era and version, NEVER if there
+    is none, and the highest sequence of the process's entries.
     """
 
     server: int
     is_leaving: bool
     cold_ms: int = 0
+    removed_era: int = 0
+    removed_version: int = NEVER
+    removed_sequence: int = 0
+
+
+class EncodedRemoval(msgspec.Struct, array_like=True, frozen=True):
+    """The removal of the entry of one process of a server."""
+
+    server: str
+    started_ms: int
+    era: int
+    version: int
+    sequence: int
 
 
 class EncodedReports(msgspec.Struct, array_like=True, frozen=True):
@@ -160,6 +175,8 @@
     # Whether the host, which is ready, reaches no backend server.
     is_cut: bool = False
     statements: list[EncodedStatement] = []
+    # Removals of entries of servers, for a host that has just started.
+    removals: list[EncodedRemoval] = []
 
 
 class Suspicions(msgspec.Struct, array_like=True, tag="s", frozen=True):
@@ -312,9 +329,7 @@
         for entry in entries:
             server = self.by_process.get(entry.server)
             if server is not None:
-                statements[server] = models.Statement(
-                    entry.is_leaving, max(0, entry.cold_ms) / 1000.0
-                )
+                statements[server] = _decode_statement(entry)
         return statements
 
     def decode_demand(
@@ -576,11 +591,70 @@
         if server is None:
             continue
         process = hash_process(id_, server.registration.started_ms)
-        cold_ms = round((statement.cold_left_s or 0.0) * 1000.0)
-        entries.append(EncodedStatement(process, statement.is_leaving, cold_ms))
+        entries.append(_encode_statement(process, statement))
     return entries
 
 
+def encode_removals(
+    removals: Sequence[models.ProcessRemoval],
+) -> list[EncodedRemoval]:
+    """Encodes removals of servers' entries."""
+    return [
+        EncodedRemoval(
+            told.server,
+            told.started_ms,
+            told.removal.at.era,
+            told.removal.at.number,
+            told.removal.sequence,
+        )
+        for told in removals
+    ]
+
+
+def decode_removals(
+    entries: Sequence[EncodedRemoval],
+) -> list[models.ProcessRemoval]:
+    """Decodes removals of servers' entries."""
+    return [
+        models.ProcessRemoval(
+            models.ServerId(entry.server),
+            entry.started_ms,
+            models.EntryRemoval(
+                models.TableVersion(entry.era, entry.version), entry.sequence
+            ),
+        )
+        for entry in entries
+    ]
+
+
+def _encode_statement(
+    process: int, statement: models.Statement
+) -> EncodedStatement:
+    cold_ms = round((statement.cold_left_s or 0.0) * 1000.0)
+    removal = statement.removal
+    if removal is None:
+        return EncodedStatement(process, statement.is_leaving, cold_ms)
+    return EncodedStatement(
+        process,
+        statement.is_leaving,
+        cold_ms,
+        removal.at.era,
+        removal.at.number,
+        removal.sequence,
+    )
+
+
+def _decode_statement(entry: EncodedStatement) -> models.Statement:
+    removal = None
+    if entry.removed_version != NEVER:
+        removal = models.EntryRemoval(
+            models.TableVersion(entry.removed_era, entry.removed_version),
+            entry.removed_sequence,
+        )
+    cold_left_s = max(0, entry.cold_ms) / 1000.0
+    return models.Statement(entry.is_leaving, cold_left_s, removal)
+
+
 def encode_demand(
     demand: Mapping[models.ServerId, float],
 ) -> list[EncodedDemand]:
--- a/src/banyanshed/steering/lifecycles.py
+++ b/src/banyanshed/steering/lifecycles.py
@@ -28,6 +28,8 @@
 # Statements of a server without an entry are kept for this long. Entries lapse
 # when servers can't reach the store, and come back.
 ABSENT_SERVER_S = 60.0
+# Limit on the removals, newest first, that a host is told when it has started.
+MAX_REPORTED_REMOVALS = 100
 # A report must prolong the time for which a server is cold by more than this:
 # otherwise the delays of reports that hosts pass on would add up.
 COLD_MARGIN_S = 0.5
@@ -39,10 +41,12 @@
     Attributes:
         LEAVING: The server leaves.
         COLD: The server is cold.
+        DOUBTED: Its entry was removed, and its row may be of the past.
     """
 
     LEAVING = "leaving"
     COLD = "cold"
+    DOUBTED = "doubted"
 
 
 @dataclasses.dataclass(slots=True)
@@ -125,6 +129,36 @@
         known.removal_known_at = now
         known.settled = models.NO_TABLE
 
+    def learn_removal(self, told: models.ProcessRemoval, now: float) -> bool:
+        """Records a removal that a peer tells, also before the row is read.
+
+        Returns:
+            Whether it was not known.
+        """
+        known = self.processes.get(told.server)
+        if known is None or known.started_ms < told.started_ms:
+            known = _Process(told.started_ms, now)
+            self.processes[told.server] = known
+        if known.started_ms > told.started_ms:
+            return False
+        return _add_removal(known, told.removal, now)
+
+    def removals(self) -> list[models.ProcessRemoval]:
+        """Returns the removals that hosts which start should know."""
+        newest = sorted(
+            self.processes.items(),
+            key=lambda item: item[1].removal_known_at,
+            reverse=True,
+        )
+        removals = []
+        for id_, known in newest[:MAX_REPORTED_REMOVALS]:
+            if known.removal is None or known.removal.at <= known.settled:
+                continue
+            removals.append(
+                models.ProcessRemoval(id_, known.started_ms, known.removal)
+            )
+        return removals
+
     def find_doubt(
         self, entry: models.Registration
     ) -> models.EntryRemoval | None:
@@ -172,6 +206,10 @@
         if statement.is_leaving and not known.is_leaving:
             known.is_leaving = True
             news.append(News.LEAVING)
+        if statement.removal is not None and _add_removal(
+            known, statement.removal, now
+        ):
+            news.append(News.DOUBTED)
         cold_until = now + (statement.cold_left_s or 0.0)
         if cold_until > max(now, known.cold_until + COLD_MARGIN_S):
             if now >= known.cold_until:
@@ -256,8 +294,11 @@
             is_ready = entry.state is models.ServerState.READY
             is_leaving = known.is_leaving and is_ready
             cold_left_s = max(0.0, known.cold_until - now)
-            if is_leaving or cold_left_s > 0.0:
-                report[entry.id] = models.Statement(is_leaving, cold_left_s)
+            doubt = self.find_doubt(entry)
+            if is_leaving or cold_left_s > 0.0 or doubt is not None:
+                report[entry.id] = models.Statement(
+                    is_leaving, cold_left_s, doubt
+                )
         return report
 
     def drop_absent(
@@ -273,3 +314,18 @@
         if known is None or known.started_ms != entry.started_ms:
             return None
         return known
+
+
+def _add_removal(
+    known: _Process, removal: models.EntryRemoval, now: float
+) -> bool:
+    """Adds a removal to what is known of a process; returns if it is newer."""
+    newest = known.settled
+    if known.removal is not None:
+        newest = max(newest, known.removal.at)
+    if removal.at <= newest:
+        return False
+    known.heard_at = now
+    known.removal = removal
+    known.removal_known_at = now
+    return True
--- a/tests/test_returned_servers.py
+++ b/tests/test_returned_servers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from banyanshed.gateway import peer_messages
 from banyanshed.steering import models
 from tests import gateway_fleet
 from tests import steering_cases as cases
@@ -256,3 +257,118 @@
     assert view.drop_missing(6.0) == ["i0"]
     view.put_server(cases.make_entry("i0", sequence=7), 7.0, 10**6)
     assert not view.accepts_requests(view.servers["i0"])
+
+
+# Guards against DRAIN: a host that started after a removal, or read it and the
+# late row at once, did not know that the entry was of the past.
+@pytest.mark.parametrize("starts_after_the_row", [False, True])
+def test_a_host_that_starts_after_the_removal_learns_of_it(
+    starts_after_the_row,
+):
+    async def scenario(fleet):
+        worker = Worker(fleet)
+        await worker.register(HELD_SEQUENCE)
+        await call_until_used(fleet, worker)
+        worker.leave()
+        await worker.remove()
+        worker.requests = 0
+        if starts_after_the_row:
+            await worker.register(HELD_SEQUENCE + 4)
+        fleet.start_host("h3", gateway_fleet.host_ip(3))
+        host = fleet.hosts["h3"]
+        await fleet.wait_until(lambda: host.fleet.own_state.value == "ready")
+        if not starts_after_the_row:
+            await worker.register(HELD_SEQUENCE + 4)
+        await call_for(fleet, 2.0, hosts=("h3",))
+        assert worker.requests == 0
+
+    gateway_fleet.run_scenario(scenario, hosts=2, config=make_configuration())
+
+
+def test_a_host_that_missed_the_removal_learns_of_it():
+    async def scenario(fleet):
+        worker = Worker(fleet)
+        await worker.register(HELD_SEQUENCE)
+        view = fleet.hosts["h2"].view
+        drop_server = view.drop_server
+        view.drop_server = lambda *_: False
+        worker.leave()
+        await fleet.store.remove("servers", "i1")
+        await fleet.wait_until(
+            lambda: "i1" not in fleet.hosts["h1"].view.servers
+        )
+        await worker.register(HELD_SEQUENCE + 4)
+        view.drop_server = drop_server
+        known = view.servers["i1"]
+        await fleet.wait_until(lambda: not view.accepts_requests(known))
+
+    gateway_fleet.run_scenario(scenario, hosts=2, config=make_configuration())
+
+
+def test_peers_that_heard_of_a_removal_ask_once():
+    # A report of a doubt that was settled meanwhile raises none.
+    async def scenario(fleet):
+        worker = Worker(fleet)
+        await worker.register(HELD_SEQUENCE)
+        host = fleet.hosts["h1"]
+        await fleet.wait_until(
+            lambda: (
+                host.view.servers["i1"].registration.sequence == HELD_SEQUENCE
+            )
+        )
+        removal = models.EntryRemoval(version(99), HELD_SEQUENCE)
+        statement = {"i1": models.Statement(False, removal=removal)}
+        known = host.view.servers["i1"]
+        host.lifecycle_tracker.apply_reports(statement, "h9")
+        assert not host.view.accepts_requests(known)
+        await fleet.wait_until(lambda: host.view.accepts_requests(known))
+        host.lifecycle_tracker.apply_reports(statement, "h9")
+        assert host.view.accepts_requests(known)
+        assert worker.checks == 1
+
+    gateway_fleet.run_scenario(scenario, config=make_configuration())
+
+
+def test_removals_survive_the_way_to_peers_and_older_releases():
+    view = make_asking_view()
+    drop(view, "i0", at=7)
+    [removal] = view.lifecycles.removals()
+    assert removal == models.ProcessRemoval(
+        "i0", 1000, models.EntryRemoval(version(7), 0)
+    )
+    encoded = peer_messages.encode_removals([removal])
+    assert peer_messages.decode_removals(encoded) == [removal]
+    peer = make_asking_view()
+    assert peer.lifecycles.learn_removal(removal, 1.0)
+    assert not peer.lifecycles.learn_removal(removal, 1.0)
+    assert not peer.accepts_requests(peer.servers["i0"])
+    # A host in doubt reports it with the process's hash.
+    statements = peer.lifecycles.report(
+        [server.registration for server in peer.servers.values()], 1.0
+    )
+    assert statements["i0"].removal == removal.removal
+    index = peer_messages.ServerIndex()
+    index.update(peer.servers, peer.servers_version)
+    entries = peer_messages.encode_statements(statements, peer.servers)
+    assert index.decode_statements(entries) == statements
+    # Hosts of earlier releases neither send nor read the new fields.
+    earlier = peer_messages.EncodedStatement(entries[0].server, False, 0)
+    assert index.decode_statements([earlier]) == {
+        "i0": models.Statement(False, 0.0)
+    }
+
+
+def test_a_removal_of_an_earlier_process_says_nothing_of_the_present_one():
+    view = make_asking_view()
+    entry = cases.make_entry("i0", started_ms=2000)
+    view.put_server(entry, 1.0, 10**6)
+    removal = models.EntryRemoval(version(7), 3)
+    old = models.ProcessRemoval("i0", 1000, removal)
+    assert not view.lifecycles.learn_removal(old, 1.0)
+    assert view.accepts_requests(view.servers["i0"])
+    # That of a later one is remembered until its row appears.
+    new = models.ProcessRemoval("i0", 3000, removal)
+    assert view.lifecycles.learn_removal(new, 1.0)
+    later = cases.make_entry("i0", started_ms=3000, sequence=9)
+    view.put_server(later, 2.0, 10**6)
+    assert not view.accepts_requests(view.servers["i0"])
