Order a server's processes by their starts, not by when they were seen

What callers could see: a write of an earlier process that the store performs late takes the place of the live one: requests go to where the earlier one was, and the live one's rows are refused from then on.

Cause: `Lifecycles.accept_row` took each start that it had not seen before for a newer process, and remembered the one before as ended.

Evidence: a View given the starts 2000, 1000, 2000 held 1000 (test_a_start_orders_processes_whatever_rows_come_first, and seven cases more, fail on the parent and pass now).

Change: a row with an earlier start is refused, and the list of former starts is gone. One that outlasts the time after which the store drops the row of a silent server, counted by the store's own answers, is of a live process whose clock went back, and counts from then on, so that nothing is refused for good.

Test replaced: one case of test_a_late_row_takes_no_leaving_back held that a row with an earlier start counts at once ("the clock went back"). It is refused now, and counts once it has lasted (four new cases, one with a host).

--- a/src/banyanshed/gateway/appliers.py
+++ b/src/banyanshed/gateway/appliers.py
@@ -22,6 +22,8 @@
 # Removing more than this share of all entries at once is not taken as an
 # orderly shutdown of the servers.
 MASS_REMOVAL_SHARE = 0.25
+# Source, in logs, of what is concluded from a row that stays in the store.
+LASTING_ROW = "lasting row"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,15 +146,21 @@
             self._apply_server(row, batch)
 
     def settle_lasting(self, mirror: mirrors.Mirror) -> None:
-        """Ends the doubt of servers whose rows have lasted in the store."""
+        """Believes the rows of servers that have lasted in the store."""
         lasting_s = self.waits.bounds.lapse_s + waits_lib.RE_REGISTRATION_S
         for entry in self.view.find_lasting(mirror.verified_at, lasting_s):
             removal = self.view.lifecycles.find_doubt(entry)
             assert removal is not None
             self.view.lifecycles.settle(entry, removal)
             lifecycles.log_doubt(
-                "server_confirmed", entry, removal, source="lasting row"
+                "server_confirmed", entry, removal, source=LASTING_ROW
             )
+        now = self.clock()
+        batch = Batch(now, mirror.era, LASTING_ROW, now)
+        for entry in self.view.take_outlasting(mirror.verified_at, lasting_s):
+            row = mirror.rows.get(entry.id)
+            row_version = mirror.version if row is None else row.version
+            self._update_server(entry, row_version, batch)
 
     def waits_of(self, table: str) -> waits_lib.TableWaits:
         """Returns the delays that apply to changes of a table."""
--- a/src/banyanshed/steering/lifecycles.py
+++ b/src/banyanshed/steering/lifecycles.py
@@ -9,6 +9,9 @@
 A server that refused connections may have been restarted. Until it or its row
 says otherwise, it is taken to be cold from the moment at which it is reached.
 
+The start of a process orders it among those of its server, in whatever order
+their rows come.
+
 A process whose entry was removed from the store has left, or lives on and could
 not reach the store. A row of it that appears later was written before that and
 performed late, or it is of the present. Until that is settled, the process is
@@ -22,9 +25,6 @@
 
 from banyanshed.steering import models
 
-# Earlier processes that are remembered of a server, as rows of theirs may still
-# come late.
-MAX_FORMER_PROCESSES = 4
 # Statements of a server without an entry are kept for this long. Entries lapse
 # when servers can't reach the store, and come back.
 ABSENT_SERVER_S = 60.0
@@ -64,7 +64,6 @@
         removal: Newest removal of its entry; None if there is none.
         removal_known_at: When that removal became known.
         settled: Version of the newest removal after which it lives on.
-        former: Starts of earlier processes, oldest first.
     """
 
     started_ms: int
@@ -76,7 +75,6 @@
     removal: models.EntryRemoval | None = None
     removal_known_at: float = -math.inf
     settled: models.TableVersion = models.NO_TABLE
-    former: tuple[int, ...] = ()
 
 
 class Lifecycles:
@@ -96,15 +94,10 @@
             Whether the row counts. One of an earlier process came late.
         """
         known = self.processes.get(entry.id)
-        if known is not None and entry.started_ms in known.former:
+        if known is not None and entry.started_ms < known.started_ms:
             return False
         if known is None or known.started_ms != entry.started_ms:
-            former: tuple[int, ...] = ()
-            if known is not None:
-                former = (*known.former, known.started_ms)
-            self.processes[entry.id] = _Process(
-                entry.started_ms, now, former=former[-MAX_FORMER_PROCESSES:]
-            )
+            self.processes[entry.id] = _Process(entry.started_ms, now)
         process = self.processes[entry.id]
         process.sequence = max(process.sequence, entry.sequence)
         is_leaving = entry.state is models.ServerState.DRAINING
@@ -301,6 +294,10 @@
                 )
         return report
 
+    def forget(self, server: models.ServerId) -> None:
+        """Drops the process of a server: another one has taken its place."""
+        self.processes.pop(server, None)
+
     def drop_absent(
         self, present: Mapping[models.ServerId, object], now: float
     ) -> None:
--- a/src/banyanshed/steering/views.py
+++ b/src/banyanshed/steering/views.py
@@ -30,6 +30,19 @@
     missing_since: models.TableVersion = models.NO_TABLE
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedEntry:
+    """An entry of a process with an earlier start than the known one.
+
+    Attributes:
+        registration: The newest entry of that process.
+        since: When its first entry was refused.
+    """
+
+    registration: models.Registration
+    since: float
+
+
 class View:
     """Configuration and servers of the fleet as known to one host.
 
@@ -41,6 +54,7 @@
         evacuated_zones: Zones whose servers get nothing.
         evacuation_ended_at: When the last evacuation of a zone ended.
         servers: Known servers by id.
+        refused: Entries of processes that are taken to have ended, by server.
         servers_known: Whether the table of the servers has been read.
         awaits_peers: Whether peers may know of rows that the store has lost.
         lifecycles: What the servers say of their own life cycle.
@@ -59,6 +73,7 @@
         self.evacuated_zones: set[models.ZoneName] = set()
         self.evacuation_ended_at: dict[models.ZoneName, float] = {}
         self.servers: dict[models.ServerId, Server] = {}
+        self.refused: dict[models.ServerId, RefusedEntry] = {}
         self.servers_known = False
         self.awaits_peers = False
         self.lifecycles = lifecycles_lib.Lifecycles()
@@ -124,7 +139,9 @@
         """
         known = self.servers.get(entry.id)
         if not self.lifecycles.accept_row(entry, now):
+            self._refuse(entry, now)
             return False
+        self.refused.pop(entry.id, None)
         cold_until = now + entry.cold_left_s
         same = (
             known is not None
@@ -167,6 +184,7 @@
         Returns:
             Whether the server was dropped now.
         """
+        self.refused.pop(id_, None)
         known = self.servers.get(id_)
         if known is None:
             return False
@@ -217,6 +235,26 @@
                 lasting.append(entry)
         return lasting
 
+    def take_outlasting(
+        self, verified_at: float, lasting_s: float
+    ) -> list[models.Registration]:
+        """Takes refused entries that have lasted, for the known ones' place.
+
+        They are of live processes, whose machines' clocks went back.
+
+        Args:
+            verified_at: When the entries were last known to match the store.
+            lasting_s: Seconds after which a silent server's entry is gone.
+        """
+        outlasting = []
+        for id_, refused in list(self.refused.items()):
+            if verified_at - refused.since < lasting_s:
+                continue
+            del self.refused[id_]
+            self.lifecycles.forget(id_)
+            outlasting.append(refused.registration)
+        return outlasting
+
     def accepts_requests(self, server: Server) -> bool:
         """Returns whether a server may get requests.
 
@@ -278,6 +316,13 @@
         returned = self.evacuation_ended_at.get(entry.zone)
         return returned is not None and now < returned + service.cold_s
 
+    def _refuse(self, entry: models.Registration, now: float) -> None:
+        since = now
+        refused = self.refused.get(entry.id)
+        if refused and refused.registration.started_ms == entry.started_ms:
+            since = refused.since
+        self.refused[entry.id] = RefusedEntry(entry, since)
+
     def _can_ask(self, entry: models.Registration) -> bool:
         service = self.service_of(entry)
         return service is not None and bool(service.health_path)
