Test that a row which a restored store has again brings no requests

Evidence: a copy of the store may hold a later row than the last one that the hosts read before its removal. The rows of servers in tests are built in one place.

No change of the product.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -58,6 +58,16 @@
     }
 
 
+def make_row(address, zone="a1", service="s", **status):
+    """Returns the row of a backend server's first process."""
+    return {
+        "addr": f"{address[0]}:{address[1]}",
+        "info": {"backend": service, "zone": zone, "slots": 4},
+        "status": {"state": "ready", "coldLeft": "0ms", **status},
+        "born": 1000,
+    }
+
+
 class Fleet:
     """A store, backend servers and hosts for one test."""
 
@@ -90,17 +100,8 @@
         return server
 
     async def register(self, id_, zone="a1", service="s", **status):
-        ip, port = self.servers[id_].address
-        await self.store.put(
-            "servers",
-            id_,
-            {
-                "addr": f"{ip}:{port}",
-                "info": {"backend": service, "zone": zone, "slots": 4},
-                "status": {"state": "ready", "coldLeft": "0ms", **status},
-                "born": 1000,
-            },
-        )
+        row = make_row(self.servers[id_].address, zone, service, **status)
+        await self.store.put("servers", id_, row)
 
     def start_host(self, name, ip, zone="a1"):
         ports = free_ports(6, ip)
--- a/tests/test_lifecycles.py
+++ b/tests/test_lifecycles.py
@@ -240,13 +240,8 @@
     async def scenario(fleet):
         host = fleet.hosts["h1"]
         host.waits.bounds = models.Bounds(lapse_s=-2.0)
-        ip, port = fleet.servers["i1"].address
-        row = {
-            "addr": f"{ip}:{port}",
-            "info": {"backend": "s", "zone": "a1", "slots": 4},
-            "status": {"state": "ready", "seq": 1, "coldLeft": "0ms"},
-            "born": 500,
-        }
+        row = gateway_fleet.make_row(fleet.servers["i1"].address, seq=1)
+        row["born"] = 500
         await fleet.store.put("servers", "i1", row)
         await fleet.wait_until(
             lambda: host.view.servers["i1"].registration.started_ms == 500
--- a/tests/test_returned_servers.py
+++ b/tests/test_returned_servers.py
@@ -6,11 +6,11 @@
 
 from banyanshed.gateway import peer_messages
 from banyanshed.steering import models
+from standins import store as store_lib
 from tests import gateway_fleet
 from tests import steering_cases as cases
 
 HEALTH_PATH = "/healthz"
-STARTED_MS = 1000
 # Sequence of the entry that hosts hold when it is removed.
 HELD_SEQUENCE = 5
 
@@ -147,17 +147,9 @@
         await worker.register(HELD_SEQUENCE)
         await worker.remove()
         worker.requests = 0
-        ip, port = fleet.servers["i1"].address
-        await fleet.store.put(
-            "servers",
-            "i1",
-            {
-                "addr": f"{ip}:{port}",
-                "info": {"backend": "s", "zone": "a1", "slots": 4},
-                "status": {"state": "ready", "seq": 1, "coldLeft": "0ms"},
-                "born": STARTED_MS + 1000,
-            },
-        )
+        row = gateway_fleet.make_row(fleet.servers["i1"].address, seq=1)
+        row["born"] += 1000
+        await fleet.store.put("servers", "i1", row)
         await call_until_used(fleet, worker)
         assert worker.checks == 0
 
@@ -285,6 +277,35 @@
     gateway_fleet.run_scenario(scenario, hosts=2, config=make_configuration())
 
 
+# A copy may hold a later row than the last one that hosts read before the
+# removal, so that it looks as if the server had written it once more.
+def test_a_row_that_a_restored_store_has_again_brings_no_requests():
+    async def scenario(fleet):
+        worker = Worker(fleet)
+        await worker.register(HELD_SEQUENCE)
+        await call_until_used(fleet, worker)
+        restored = store_lib.Store()
+        restored.rows = dict(fleet.store.rows)
+        restored.version = fleet.store.version
+        row = gateway_fleet.make_row(
+            fleet.servers["i1"].address, seq=HELD_SEQUENCE + 4
+        )
+        await restored.put("servers", "i1", row)
+        worker.leave()
+        await worker.remove()
+        worker.requests = 0
+        await fleet.store.restore(restored.copy())
+        era = fleet.store.era
+        for host in fleet.hosts.values():
+            await fleet.wait_until(
+                lambda mirror=host.mirrors["servers"]: mirror.era == era
+            )
+        await call_for(fleet, 2.0, hosts=("h1", "h2"))
+        assert worker.requests == 0
+
+    gateway_fleet.run_scenario(scenario, hosts=2, config=make_configuration())
+
+
 def test_a_host_that_missed_the_removal_learns_of_it():
     async def scenario(fleet):
         worker = Worker(fleet)
