Take from a peer's word on a removal only what fits the known process

Cause: found on reading the change. A removal of a later process that a peer tells replaced the record of the process whose row this host holds, with its leaving, so that a server that had said that it leaves could get requests until its row was read again.

Change: a told removal counts for the process known here, or for a server of which none is known. The replaced unit test held the opposite for a later process; a case for an earlier and a later one, each with a leaving, and one for an unknown server take its place.

--- a/src/banyanshed/steering/lifecycles.py
+++ b/src/banyanshed/steering/lifecycles.py
@@ -126,13 +126,12 @@
         """Records a removal that a peer tells, also before the row is read.
 
         Returns:
-            Whether it was not known.
+            Whether it was not known, and is of the process known here.
         """
-        known = self.processes.get(told.server)
-        if known is None or known.started_ms < told.started_ms:
-            known = _Process(told.started_ms, now)
-            self.processes[told.server] = known
-        if known.started_ms > told.started_ms:
+        known = self.processes.setdefault(
+            told.server, _Process(told.started_ms, now)
+        )
+        if known.started_ms != told.started_ms:
             return False
         return _add_removal(known, told.removal, now)
 
--- a/tests/test_returned_servers.py
+++ b/tests/test_returned_servers.py
@@ -379,17 +379,26 @@
     }
 
 
-def test_a_removal_of_an_earlier_process_says_nothing_of_the_present_one():
+@pytest.mark.parametrize("started_ms", [1000, 3000])
+def test_a_removal_of_another_process_says_nothing_of_the_known_one(started_ms):
     view = make_asking_view()
     entry = cases.make_entry("i0", started_ms=2000)
     view.put_server(entry, 1.0, 10**6)
+    statement = models.Statement(True)
     removal = models.EntryRemoval(version(7), 3)
-    old = models.ProcessRemoval("i0", 1000, removal)
-    assert not view.lifecycles.learn_removal(old, 1.0)
+    told = models.ProcessRemoval("i0", started_ms, removal)
+    assert not view.lifecycles.learn_removal(told, 1.0)
     assert view.accepts_requests(view.servers["i0"])
-    # That of a later one is remembered until its row appears.
-    new = models.ProcessRemoval("i0", 3000, removal)
-    assert view.lifecycles.learn_removal(new, 1.0)
+    view.lifecycles.record(entry, statement, 1.0)
+    assert not view.lifecycles.learn_removal(told, 1.0)
+    assert not view.accepts_requests(view.servers["i0"])
+
+
+def test_a_removal_is_remembered_until_the_row_appears():
+    view = make_asking_view(0)
+    removal = models.EntryRemoval(version(7), 3)
+    told = models.ProcessRemoval("i0", 3000, removal)
+    assert view.lifecycles.learn_removal(told, 1.0)
     later = cases.make_entry("i0", started_ms=3000, sequence=9)
     view.put_server(later, 2.0, 10**6)
     assert not view.accepts_requests(view.servers["i0"])
