Let servers of the soak leave unannounced, beside a late write

A seeded run draws up to two servers whose entries are removed without `draining`. A write from before the removal is performed 1 to 6 s later and stays for the time after which the store drops it. Servers answer health checks, and each has an id of its own. The draws of the other faults stay as they are.

No change of the product.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -26,6 +26,7 @@
 NETWORK = f"127.{60 + gateway_fleet.WORKER}"
 ZONES = {"a1": "a", "a2": "a", "b1": "b"}
 SLOTS = 4
+HEALTH_PATH = "/healthz"
 WORK_S = 0.05
 GRACE_S = 3.0
 READY_S = 60.0
@@ -40,6 +41,7 @@
     def __init__(self, cluster, id_):
         self.cluster = cluster
         self.id = id_
+        cluster.ids.add(id_)
         self.slow_factor = 1.0
         self.failing_share = 0.0
         self.limit = None
@@ -56,11 +58,16 @@
 
     async def register(self, state):
         self.state = state
+        entry = self.next_entry(state)
+        await self.cluster.store.put("servers", self.id, entry)
+
+    def next_entry(self, state):
+        """Returns the entry that it writes next."""
         self.sequence += 1
         ip, port = self.proxy.address
         zones = list(ZONES)
         number = int(self.id.removeprefix("i"))
-        entry = {
+        return {
             "addr": f"{ip}:{port}",
             "info": {
                 "backend": "s",
@@ -74,11 +81,15 @@
             },
             "born": 1000,
         }
-        await self.cluster.store.put("servers", self.id, entry)
 
     async def _answer(self, exchange):
         cluster = self.cluster
         headers = exchange.headers
+        if exchange.target == HEALTH_PATH:
+            headers["x-banyanshed-request-id"] = ""
+            status = 200 if self.state == "ready" else 503
+            exchange.respond(status, X_Banyanshed_Instance_Id=self.id)
+            return
         execution = records_lib.Execution(
             headers["x-banyanshed-request-id"],
             self.id,
@@ -224,6 +235,8 @@
         self.store_address = ("", 0)
         self.servers = {}
         self.leaving = {}
+        # Ids of all servers so far; each belongs to one server.
+        self.ids = set()
         self.deadly_until = 0.0
         self.hosts = {}
         self.version = 1
@@ -280,6 +293,7 @@
             extra,
         ]
         tree = gateway_fleet.configuration(self.version, routes, customers)
+        tree["backends"][0]["healthPath"] = HEALTH_PATH
         await self.store.put("op", "config", tree)
 
     async def write_again(self):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 import signal
 
 from standins import store as store_lib
@@ -13,6 +14,10 @@
 LIMITS = (0.5, 2.0, 8.0)
 # A server names its limit for longer than hosts may take to keep it.
 MIN_LIMIT_S = 6.0
+# Time in seconds from a write without an answer until the store performs it,
+# and after which the store drops the entry of a silent server.
+LATE_WRITE_S = (1.0, 6.0)
+LAPSE_S = 4.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +76,16 @@
     return [Fault(at, "send_deadly_requests", rng.uniform(4.0, 10.0))]
 
 
+def draw_departures(rng, length_s):
+    """Returns when servers leave unannounced, and how late a write comes."""
+    departures = []
+    for _ in range(rng.randint(0, 2)):
+        at = rng.uniform(0.5, length_s)
+        late_s = rng.uniform(*LATE_WRITE_S)
+        departures.append(Fault(at, "leave_unannounced", late_s))
+    return departures
+
+
 class FaultInjector:
     """Applies scheduled faults to a cluster."""
 
@@ -250,12 +265,29 @@
         await cluster.store.remove("servers", server.id)
         self._record_change("gone", server.id)
 
+    async def leave_unannounced(self, for_s):
+        """Removes a server's entry, which a late write brings back."""
+        cluster = self.cluster
+        if len(cluster.servers) <= MIN_SERVERS:
+            return
+        # A generator of its own, so that the others' draws stay the same.
+        rng = random.Random(for_s)
+        server = cluster.servers.pop(rng.choice(sorted(cluster.servers)))
+        late = server.next_entry("ready")
+        server.state = "draining"
+        await cluster.store.remove("servers", server.id)
+        self._record_change("gone", server.id)
+        await asyncio.sleep(for_s)
+        await cluster.store.put("servers", server.id, late)
+        await asyncio.sleep(LAPSE_S)
+        await cluster.store.remove("servers", server.id)
+
     async def add_server(self, for_s):
         cluster = self.cluster
         number = (
             100 + len(cluster.records.fault_intervals) + len(cluster.servers)
         )
-        while f"i{number}" in cluster.servers:
+        while f"i{number}" in cluster.ids:
             number += 1
         server = cluster_lib.Server(cluster, f"i{number}")
         await server.start(cluster.stack)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -17,6 +17,7 @@
 CONSECUTIVE_SERVED = 20
 RESTORES_SEED = 1 << 32
 DEADLY_SEED = 1 << 33
+DEPARTURES_SEED = 1 << 34
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,8 +65,12 @@
         deadly = faults_lib.draw_deadly_requests(
             random.Random(seed + DEADLY_SEED), length_s
         )
+        departures = faults_lib.draw_departures(
+            random.Random(seed + DEPARTURES_SEED), length_s
+        )
         drawn = sorted(
-            drawn + limits + restores + deadly, key=lambda fault: fault.at
+            drawn + limits + restores + deadly + departures,
+            key=lambda fault: fault.at,
         )
         callers = [
             cluster_lib.Caller(cluster, n)
