--- a/src/banyanshed/gateway/host.py
+++ b/src/banyanshed/gateway/host.py
@@ -458,7 +458,7 @@
             self.applier.drop_missing()
             for mirror in self.mirrors.values():
                 self.applier.expire(mirror)
-            self.applier.settle_lasting(self.mirrors[wire.SERVER_TABLE])
+            self.applier.believe_lasting(self.mirrors[wire.SERVER_TABLE])
             now = self.loop.time()
             self.connection_pools.close_expired(now)
             self.peer_pools.close_expired(now)
--- a/src/banyanshed/gateway/peer_forwarding.py
+++ b/src/banyanshed/gateway/peer_forwarding.py
@@ -43,7 +43,7 @@
     UNAVAILABLE = "unavailable"
 
 
-_RESULTS = {result.value.encode(): result for result in Result}
+_RESULT_BY_VALUE = {result.value.encode(): result for result in Result}
 # Results of requests that have not run and never will.
 NOT_RUN_RESULTS = frozenset({Result.NOT_RUN, Result.UNAVAILABLE})
 
@@ -195,7 +195,7 @@
         ResponseLost: It does not tell what became of the request.
     """
     value = response.find(RESULT_HEADER)
-    result = _RESULTS.get(value) if value is not None else None
+    result = _RESULT_BY_VALUE.get(value) if value is not None else None
     if value is None and _is_unread(response.status):
         result = Result.UNAVAILABLE
     if result is None:
--- a/tests/test_returned_servers.py
+++ b/tests/test_returned_servers.py
@@ -97,6 +97,17 @@
             await call_for(fleet, 0.05, hosts)
 
 
+async def start_and_leave(fleet):
+    """Returns a worker that was used, and left without reporting it."""
+    worker = Worker(fleet)
+    await worker.register(HELD_SEQUENCE)
+    await call_until_used(fleet, worker)
+    worker.leave()
+    await worker.remove()
+    worker.requests = 0
+    return worker
+
+
 # Guards against DRAIN: a write that the store performs late, after the removal
 # of the entry, was taken for a registration of the server (review/13). The
 # sequence that a host holds may be behind that of the late row.
@@ -114,12 +125,7 @@
     health_path, sequence
 ):
     async def scenario(fleet):
-        worker = Worker(fleet)
-        await worker.register(HELD_SEQUENCE)
-        await call_until_used(fleet, worker)
-        worker.leave()
-        await worker.remove()
-        worker.requests = 0
+        worker = await start_and_leave(fleet)
         await worker.register(sequence)
         await call_for(fleet, 2.0)
         assert worker.requests == 0
@@ -258,12 +264,7 @@
     starts_after_the_row,
 ):
     async def scenario(fleet):
-        worker = Worker(fleet)
-        await worker.register(HELD_SEQUENCE)
-        await call_until_used(fleet, worker)
-        worker.leave()
-        await worker.remove()
-        worker.requests = 0
+        worker = await start_and_leave(fleet)
         if starts_after_the_row:
             await worker.register(HELD_SEQUENCE + 4)
         fleet.start_host("h3", gateway_fleet.host_ip(3))
